--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,1059 @@
+// The interface of this package, its settings, events and actions, is api.go.
+
+// Package choice makes every decision of a gateway that keeps each customer of a shared back end to its plan.
+package choice
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Tuned constants. Those that the design leaves open were set by measurement; docs/design.md has the record.
+const (
+	tick        = 50 * time.Millisecond  // housekeeping; well under any aim
+	period      = 500 * time.Millisecond // T of the loops: several service times, few per trouble
+	margin      = 4.0                    // G, gain margin of the loops
+	leastAdmit  = 0.01                   // least f: a trickle that keeps the sensor alive
+	badTarget   = 0.03                   // share of bad attempts held as the outcome set point
+	justBelow   = 0.95                   // set point, as a share of the load where servers refuse
+	leastKnee   = 0.5                    // lowest share of full use that is learned as the knee
+	kneeDown    = 0.97                   // factor on the knee for a period that refuses below it
+	kneeUp      = 1.005                  // factor for a busy period that does not
+	reportLife  = 3 * time.Second        // a load report older than this is stale
+	addEvery    = 250 * time.Millisecond // interval of counter adds near a quota
+	addAtLeast  = time.Second            // interval far from it
+	addCalm     = 0.25                   // far: new use over all gateways below this share of what is unspent
+	addBackoff  = 2 * time.Second        // longest wait after failed adds
+	othersLag   = time.Second            // smoothing of the use seen from other gateways
+	choices     = 3                      // servers compared for one attempt
+	failsToOut  = 3                      // failures in a row that eject a server
+	failShare   = 0.5                    // or this share of its recent attempts
+	outFirst    = 2 * time.Second        // first ejection; doubles up to outMost
+	outMost     = 16 * time.Second       // long enough to cost little, short enough to come back
+	mostOut     = 0.4                    // share of the list that may be avoided as unhealthy
+	stallTimes  = 4.0                    // silence, in usual latencies, after which a server is suspected
+	coldSpread  = 2.0                    // a cold server gets at most this multiple of its weight's share
+	retryShare  = 0.2                    // further attempts per first attempt
+	retryBurst  = 20.0                   // further attempts at once
+	patience    = 5.0                    // deviations above the mean latency that an attempt may take
+	smoothing   = 0.05                   // weight of a new latency
+	customerTTL = 60 * time.Second       // a customer idle for this long is forgotten
+	leftover    = 30 * time.Second       // an attempt whose outcome never comes is forgotten this long after its end
+)
+
+var errSettings = errors.New("choice: bad settings")
+
+// Gateway decides for one front door. It is a deterministic state machine and not safe for concurrent use.
+type Gateway struct {
+	set       Settings
+	rng       *rand.Rand
+	now       time.Duration
+	out       []Action
+	sensor    sensor
+	loops     []loop  // by worth, highest first; the last is for use beyond soft quotas
+	rank      [][]int // loop by class and plan
+	customers map[string]*customer
+	roll      []*customer // the same, for sweeping a few at a time
+	swept     int
+	due       []*customer // customers with units to add
+	servers   map[ServerID]*server
+	list      []*server // those that discovery has up
+	requests  map[RequestID]*request
+	latency   []latency // by class
+	budget    float64   // further attempts that may be made
+}
+
+// New makes a gateway. The actions are its first ones.
+func New(set Settings, seed uint64, now time.Duration) (*Gateway, []Action, error) {
+	if len(set.Classes) == 0 {
+		return nil, nil, fmt.Errorf("%w: no classes", errSettings)
+	}
+	for i, c := range set.Classes {
+		if c.Aim < 0 || c.Deadline < 0 || c.KeyTTL < 0 || !(c.Worth >= 0) {
+			return nil, nil, fmt.Errorf("%w: class %d: a negative figure", errSettings, i)
+		}
+	}
+	for i, p := range set.Plans {
+		for _, x := range []float64{p.Rate, p.Burst, p.Price, p.CeilingRate, p.CeilingBurst, p.CeilingSlack, float64(p.Open)} {
+			if !(x >= 0) || math.IsInf(x, 0) {
+				return nil, nil, fmt.Errorf("%w: plan %d: a negative figure", errSettings, i)
+			}
+		}
+	}
+	if !(set.ColdShare > 0) || set.ColdShare > 1 {
+		set.ColdShare = 1 // no cold start is described
+	}
+	set.MaxAttempts, set.Gateways = max(1, set.MaxAttempts), max(1, set.Gateways)
+	g := &Gateway{
+		set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, budget: retryBurst,
+		customers: map[string]*customer{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
+	}
+	g.sensor.init(set.LoadFields, now)
+	g.rankClasses()
+	for _, c := range set.Classes {
+		g.latency = append(g.latency, latency{mean: c.Aim.Seconds() / 6, dev: c.Aim.Seconds() / 12})
+	}
+	if set.Subscribe {
+		g.do(Subscribe{})
+	}
+	g.do(SetTimer{At: now + tick, Timer: Timer{Kind: TickTimer}})
+	return g, g.take(), nil
+}
+
+// Handle takes in an event and returns what to do now. Events that name what is unknown or over are ignored.
+func (g *Gateway) Handle(e Event, now time.Duration) []Action {
+	g.now = max(g.now, now)
+	switch e := e.(type) {
+	case Arrived:
+		g.arrived(e)
+	case ClientLeft:
+		if r := g.requests[e.Request]; r != nil && !r.ended {
+			g.end(r, answerNone)
+		}
+	case AttemptEnded:
+		g.attemptEnded(e)
+	case StreamStarted:
+		if r := g.requests[e.Request]; r != nil && !r.ended {
+			r.streaming = true
+		}
+	case ProbeEnded:
+		if s := g.servers[e.Server]; s != nil && e.Outcome == OK {
+			g.report(s, e.Load)
+		}
+	case Counted:
+		g.counted(e)
+	case ServersChanged:
+		g.serversChanged(e)
+	case TimerFired:
+		switch e.Timer.Kind {
+		case TickTimer:
+			g.tick()
+		case DeadlineTimer:
+			g.deadline(e.Timer.Request)
+		}
+	}
+	return g.take()
+}
+
+func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
+
+func (g *Gateway) take() []Action {
+	out := g.out
+	g.out = nil
+	return out
+}
+
+func (g *Gateway) tick() {
+	g.do(SetTimer{At: g.now + tick, Timer: Timer{Kind: TickTimer}})
+	g.addUse()
+	g.sweep()
+	if g.now-g.sensor.sampled >= period {
+		g.control()
+	}
+}
+
+// 1. Sensor: how loaded the back end is.
+
+type sensor struct {
+	util     bool    // reports tell how busy the processors are; else what is in flight
+	knee     float64 // reported load at which servers begin to refuse
+	sampled  time.Duration
+	done     float64 // attempts that ended in this period
+	bad      float64 // of these, refused as full, timed out or slower than their aim
+	badShare float64 // smoothed
+}
+
+func (s *sensor) init(fields []LoadField, now time.Duration) {
+	s.util, s.knee, s.sampled = slices.Contains(fields, FieldUtil), math.Inf(1), now
+	if s.util {
+		s.knee = 1
+	}
+}
+
+// report keeps a server's load. Figures that no server can have are not taken.
+func (g *Gateway) report(s *server, load []float64) {
+	for i, f := range g.set.LoadFields {
+		if i >= len(load) || !(load[i] >= 0) || math.IsInf(load[i], 0) {
+			continue
+		}
+		switch f {
+		case FieldUtil:
+			s.load, s.reported = min(load[i], 1.2), g.now
+		case FieldInFlight:
+			others := max(0, load[i]-float64(s.open))
+			s.others += (others - s.others) / 2
+			if !g.sensor.util {
+				s.load, s.reported = load[i], g.now
+			}
+		}
+	}
+}
+
+// estimate gives U as a share of the knee. Attempt outcomes speak when reports are missing, and always when they
+// tell of more trouble: a server that fails fast, or whose report froze, must not read as room.
+func (g *Gateway) estimate() float64 {
+	s := &g.sensor
+	share := 0.0
+	if s.done > 0 {
+		share = s.bad / s.done
+	}
+	s.badShare += (share - s.badShare) * min(1, s.done/20)
+	s.done, s.bad = 0, 0
+	sum, n := 0.0, 0.0
+	for _, v := range g.list {
+		if v.reported > 0 && g.now-v.reported < reportLife && !v.isOut(g.now) {
+			sum, n = sum+v.load, n+1
+		}
+	}
+	byOutcome := s.badShare / badTarget
+	if n*2 < float64(len(g.list)) || n == 0 {
+		return min(byOutcome, 2) * justBelow
+	}
+	mean := sum / n
+	switch {
+	case byOutcome > 1 && mean < s.knee:
+		if math.IsInf(s.knee, 1) {
+			s.knee = mean
+		}
+		s.knee = max(s.knee*kneeDown, mean, leastKnee)
+	case mean > justBelow*s.knee:
+		s.knee *= kneeUp
+		if s.util {
+			s.knee = min(s.knee, 1)
+		}
+	}
+	u := 0.0
+	if !math.IsInf(s.knee, 1) {
+		u = mean / s.knee
+	}
+	if byOutcome > 1 {
+		u = max(u, justBelow*(1+s.badShare-badTarget))
+	}
+	return u
+}
+
+// 2. Loops: the fraction of customers admitted, by priority class.
+
+type loop struct {
+	worth float64
+	f     float64
+	err   float64 // last control error
+	work  float64 // admitted in this period, in seconds of service
+}
+
+// rankClasses gives each worth that a class under a plan can have its loop.
+func (g *Gateway) rankClasses() {
+	var worths []float64
+	worth := func(c, p int) float64 {
+		if p == len(g.set.Plans) {
+			return g.set.Classes[c].Worth // a plan that was not described
+		}
+		return g.set.Classes[c].Worth * g.set.Plans[p].Price
+	}
+	for c := range g.set.Classes {
+		for p := range len(g.set.Plans) + 1 {
+			worths = append(worths, worth(c, p))
+		}
+	}
+	slices.SortFunc(worths, func(a, b float64) int { return -compare(a, b) })
+	worths = slices.Compact(worths)
+	for _, w := range worths {
+		g.loops = append(g.loops, loop{worth: w, f: 1})
+	}
+	g.loops = append(g.loops, loop{f: 1})
+	for c := range g.set.Classes {
+		row := make([]int, len(g.set.Plans)+1)
+		for p := range row {
+			row[p] = slices.Index(worths, worth(c, p))
+		}
+		g.rank = append(g.rank, row)
+	}
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// control moves every f once a period. A class's set point is what the classes above it leave (section 5 of the
+// paper); U is split by the work admitted. In this incremental form the integrator halts at the bounds of f.
+func (g *Gateway) control() {
+	u := g.estimate()
+	t := (g.now - g.sensor.sampled).Seconds()
+	g.sensor.sampled = g.now
+	w := 5 * math.Pi / (3 * t)
+	ki := w / math.Sqrt(3)
+	total := 0.0
+	for _, l := range g.loops {
+		total += l.work
+	}
+	left := justBelow
+	for i := range g.loops {
+		l := &g.loops[i]
+		own := 0.0
+		if total > 0 {
+			own = u * l.work / total
+		}
+		e := left - own
+		pmax := max(left, own, 0.05) / l.f
+		kp := math.Sqrt(3) / (2 * margin * pmax)
+		l.f = min(1, max(leastAdmit, l.f+kp*(e-l.err+ki*t*e)))
+		l.err, l.work = e, 0
+		left = max(0, left-own)
+	}
+}
+
+// admits tells whether a customer is within the admitted fraction; its hash is alike at all gateways.
+func (l *loop) admits(c *customer) bool { return c.hash < l.f }
+
+// hash maps a customer to [0,1), well mixed.
+func hash(id string) float64 {
+	h := uint64(14695981039346656037)
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * 1099511628211
+	}
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	h ^= h >> 33
+	return float64(h>>11) / (1 << 53)
+}
+
+// 3. Quota: each customer's plan, shared by its gateways through the counter.
+
+type customer struct {
+	id       string
+	hash     float64
+	plan     *Plan
+	spread   float64
+	whole    bool    // levels are of the whole store, as the counter tells; else of this gateway's split
+	level    float64 // quota store
+	ceiling  float64 // ceiling store
+	at       time.Duration
+	others   float64 // use at other gateways, units a second
+	guessed  float64 // of that, taken from the levels in this second without being seen
+	fresh    float64 // spent here and not added
+	adding   float64 // in a call under way
+	calling  bool
+	added    float64 // added here in this second
+	seen     float64 // seen of others in this second
+	answered time.Duration
+	next     time.Duration // no call before
+	backoff  time.Duration
+	queued   bool
+	open     int // attempts out
+	past     int // answers about past seconds awaited
+	pastUse  float64
+	used     time.Duration
+}
+
+var noPlan = &Plan{Price: 1}
+
+func (g *Gateway) plan(p PlanID) *Plan {
+	if p < 0 || int(p) >= len(g.set.Plans) {
+		return noPlan
+	}
+	return &g.set.Plans[p]
+}
+
+// customer finds or makes the record. A new one, which may have spent elsewhere, gets the split of its burst, and
+// of a ceiling no more than the slack until the counter has told what the past seconds took.
+func (g *Gateway) customer(e Arrived) *customer {
+	c := g.customers[e.Customer]
+	if c == nil {
+		c = &customer{id: e.Customer, hash: hash(e.Customer), plan: g.plan(e.Plan), at: g.now}
+		c.spread = float64(min(max(1, e.Spread), g.set.Gateways))
+		c.level, c.ceiling = c.plan.Burst/c.spread, c.plan.CeilingSlack/c.spread
+		g.customers[e.Customer] = c
+		g.roll = append(g.roll, c)
+		if c.plan.CeilingRate > 0 && g.set.Counter {
+			c.past = c.window()
+			for k := range c.past {
+				g.do(Count{Name: counterName(c.id, second(g.now)-int64(k)-1), TTL: c.ttl()})
+			}
+		}
+	}
+	c.used = g.now
+	g.settle(c)
+	return c
+}
+
+// window is how many seconds fill an empty ceiling store.
+func (c *customer) window() int { return int(min(30, math.Ceil(c.plan.CeilingBurst/c.plan.CeilingRate))) }
+
+func (c *customer) ttl() time.Duration { return time.Duration(c.ttlSeconds()) * time.Second }
+
+func (c *customer) ttlSeconds() int {
+	if c.plan.CeilingRate > 0 {
+		return c.window() + 5
+	}
+	return 5
+}
+
+func second(t time.Duration) int64 { return int64(t / time.Second) }
+
+func counterName(id string, s int64) string {
+	name := id + "." + strconv.FormatInt(s, 36)
+	if len(name) <= 64 {
+		return name
+	}
+	return strconv.FormatFloat(hash(id), 'g', -1, 64) + "." + strconv.FormatInt(s, 36)
+}
+
+// settle brings a customer's stores to now: they fill at their rates and are drawn on by other gateways at the
+// rate last seen. A guess about a second that has passed stays, as its last adds were never seen.
+func (g *Gateway) settle(c *customer) {
+	dt := (g.now - c.at).Seconds()
+	share := 1.0
+	taken := 0.0
+	if c.whole {
+		taken = c.others * dt
+	} else {
+		share = 1 / c.spread
+	}
+	p := c.plan
+	c.level = min(p.Burst*share, max(0, c.level+p.Rate*share*dt-taken))
+	c.ceiling = min(p.CeilingBurst*share, c.ceiling+p.CeilingRate*share*dt-taken)
+	if second(g.now) != second(c.at) {
+		c.guessed, c.added, c.seen = 0, 0, 0
+		c.others *= math.Pow(0.5, float64(second(g.now)-second(c.at)-1)) // no news for whole seconds
+	} else {
+		c.guessed += taken
+	}
+	c.at = g.now
+}
+
+// setWhole changes between the whole store and this gateway's split of it.
+func (c *customer) setWhole(whole bool) {
+	if c.whole == whole {
+		return
+	}
+	factor := c.spread
+	if !whole {
+		factor = 1 / factor
+	}
+	c.whole = whole
+	c.level *= factor
+	c.ceiling *= factor
+	c.guessed = 0
+}
+
+// within tells whether a try is inside the quota, as far as this gateway can know.
+func (g *Gateway) within(c *customer, units float64, class ClassID) bool {
+	p := c.plan
+	if p.Rate > 0 && c.level < units {
+		return false
+	}
+	if p.Open == 0 {
+		return true
+	}
+	if !c.whole {
+		return float64(c.open) < float64(p.Open)/c.spread
+	}
+	elsewhere := c.others * g.latency[class].mean
+	return float64(c.open)+elsewhere+0.5 < float64(p.Open)
+}
+
+// underCeiling tells whether a first attempt keeps the hard limit whatever the other gateways do meanwhile: what
+// is not yet added stays within this gateway's split of what remains.
+func (c *customer) underCeiling(units float64) bool {
+	if c.plan.CeilingRate == 0 {
+		return true
+	}
+	if !c.whole {
+		return c.ceiling >= units
+	}
+	unadded := c.fresh + c.adding
+	return unadded+units <= (c.ceiling+unadded)/c.spread
+}
+
+// spend books the units of a first attempt.
+func (g *Gateway) spend(c *customer, units float64) {
+	c.level = max(0, c.level-units)
+	c.ceiling -= units
+	if c.plan.Rate == 0 {
+		units = 1 // open caps are shared as attempts a second
+	}
+	if !g.set.Counter || c.spread == 1 || (c.plan.Rate == 0 && c.plan.Open == 0 && c.plan.CeilingRate == 0) {
+		return
+	}
+	c.fresh += units
+	if !c.queued {
+		c.queued = true
+		g.due = append(g.due, c)
+	}
+}
+
+// addUse calls the counter for customers with new use, oftener for those near their quota.
+func (g *Gateway) addUse() {
+	keep := g.due[:0]
+	for _, c := range g.due {
+		if c.fresh == 0 && !c.calling {
+			c.queued = false
+			continue
+		}
+		keep = append(keep, c)
+		if c.calling || g.now < c.next {
+			continue
+		}
+		g.settle(c)
+		calm := c.plan.Rate > 0 && c.plan.CeilingRate == 0 && c.fresh*c.spread < addCalm*c.level
+		if calm && g.now < c.next+addAtLeast-addEvery {
+			continue
+		}
+		g.do(Count{Name: counterName(c.id, second(g.now)), Amount: c.fresh, TTL: c.ttl()})
+		c.calling, c.adding, c.fresh, c.next = true, c.fresh, 0, g.now+addEvery
+		c.added += c.adding
+	}
+	g.due = keep
+}
+
+func (g *Gateway) counted(e Counted) {
+	i := lastDot(e.Name)
+	if i < 0 {
+		return
+	}
+	c := g.customers[e.Name[:i]]
+	if c == nil {
+		return
+	}
+	s, err := strconv.ParseInt(e.Name[i+1:], 36, 64)
+	if err != nil {
+		return
+	}
+	g.settle(c)
+	if s < second(g.now) && c.past > 0 && !(c.calling && s == second(g.now)-1 && c.past == 0) {
+		g.pastCounted(c, e)
+		return
+	}
+	if !c.calling {
+		return
+	}
+	amount := c.adding
+	c.calling, c.adding = false, 0
+	if e.Outcome != OK || !(e.Total >= 0) {
+		if e.Outcome != TimedOut || c.plan.CeilingRate > 0 {
+			c.fresh += amount // not added, or safer counted twice than not at all
+			c.added = max(0, c.added-amount)
+		}
+		c.backoff = min(addBackoff, max(addEvery, c.backoff*2))
+		c.next = g.now + c.backoff
+		c.setWhole(false)
+		return
+	}
+	c.backoff = 0
+	if s != second(g.now) {
+		return // the second turned under way: the guess for it stands
+	}
+	if e.Total < c.added-c.fresh-1e-6 { // lost what was added: it came back empty
+		c.setWhole(false)
+		return
+	}
+	since := max(c.answered, time.Duration(s)*time.Second)
+	news := max(0, min(e.Total-c.added, c.plan.Rate+c.plan.Burst+float64(c.plan.Open)*10)-c.seen)
+	c.setWhole(true)
+	c.level = min(c.plan.Burst, max(0, c.level+c.guessed-news))
+	c.ceiling = min(c.plan.CeilingBurst, c.ceiling+c.guessed-news)
+	c.guessed = 0
+	c.seen += news
+	if dt := (g.now - since).Seconds(); dt > 0 {
+		c.others += (news/dt - c.others) * (1 - math.Exp(-dt/othersLag.Seconds()))
+	}
+	c.answered = g.now
+}
+
+// pastCounted takes a total of a second before this gateway knew the customer. With all of them, what remains of
+// the ceiling is known to be at least its burst less their sum.
+func (g *Gateway) pastCounted(c *customer, e Counted) {
+	c.past--
+	if e.Outcome != OK || !(e.Total >= 0) {
+		c.pastUse = math.Inf(1)
+	}
+	c.pastUse += e.Total
+	if c.past == 0 && !math.IsInf(c.pastUse, 1) {
+		share := 1.0
+		if !c.whole {
+			share = 1 / c.spread
+		}
+		c.ceiling = max(c.ceiling, (c.plan.CeilingBurst-c.pastUse)*share-c.fresh-c.adding)
+	}
+}
+
+func lastDot(s string) int {
+	for i := len(s) - 1; i >= 0; i-- {
+		if s[i] == '.' {
+			return i
+		}
+	}
+	return -1
+}
+
+// sweep forgets customers long idle, a few at a time.
+func (g *Gateway) sweep() {
+	for range min(20, len(g.roll)) {
+		g.swept++
+		if g.swept >= len(g.roll) {
+			g.swept = 0
+		}
+		c := g.roll[g.swept]
+		if g.now-c.used > customerTTL && c.open == 0 && !c.queued {
+			delete(g.customers, c.id)
+			last := len(g.roll) - 1
+			g.roll[g.swept] = g.roll[last]
+			g.roll = g.roll[:last]
+			if last == 0 {
+				return
+			}
+		}
+	}
+}
+
+// 4. Server choice and health.
+
+type server struct {
+	ServerEntry
+	known    time.Duration
+	open     int     // own attempts out
+	others   float64 // in flight from other gateways, by reports
+	load     float64 // last report, and when
+	reported time.Duration
+	latency  float64       // relative to what its classes usually take
+	waiting  time.Duration // since when an answer is due
+	fails    int           // in a row
+	failing  float64       // recent share
+	outUntil time.Duration
+	outs     int
+	trial    bool
+	coldAt   time.Duration
+	cold     bool
+	sent     float64 // attempts lately, decayed over OverloadTime
+	sentAt   time.Duration
+}
+
+func (s *server) isOut(now time.Duration) bool { return now < s.outUntil }
+
+func (g *Gateway) serversChanged(e ServersChanged) {
+	if e.Failed {
+		if g.set.Subscribe {
+			g.do(Subscribe{})
+		}
+		return
+	}
+	if e.Full {
+		for _, s := range g.list {
+			s.State = Gone
+		}
+	}
+	for _, n := range e.Entries {
+		s := g.servers[n.Server]
+		if s == nil {
+			s = &server{latency: 1, known: g.now}
+			g.servers[n.Server] = s
+		}
+		if n.Started > s.Started && n.Started > 0 && n.Started+g.set.ColdTime > g.now {
+			s.cold, s.coldAt = true, n.Started
+			s.outUntil, s.fails, s.failing, s.trial = 0, 0, 0, false
+		}
+		s.ServerEntry = n
+		if n.State == Up && !slices.Contains(g.list, s) {
+			g.list = append(g.list, s)
+		}
+	}
+	g.list = slices.DeleteFunc(g.list, func(s *server) bool {
+		if s.State == Gone && s.open == 0 {
+			delete(g.servers, s.Server)
+		}
+		return s.State != Up
+	})
+}
+
+// warmth is the share of its capacity that a server is sure to have.
+func (g *Gateway) warmth(s *server) float64 {
+	if !s.cold {
+		return 1
+	}
+	age := float64(g.now-s.coldAt) / float64(max(1, g.set.ColdTime))
+	if age >= 1 {
+		s.cold = false
+		return 1
+	}
+	return g.set.ColdShare + (1-g.set.ColdShare)*max(0, age)
+}
+
+func (g *Gateway) sentLately(s *server) float64 {
+	tau := max(g.set.OverloadTime, tick).Seconds()
+	s.sent *= math.Exp(-(g.now - s.sentAt).Seconds() / tau)
+	s.sentAt = g.now
+	return s.sent
+}
+
+// suspect tells that a server leaves attempts unanswered for much longer than usual: hung, stalled or vanished.
+func (g *Gateway) suspect(s *server) bool {
+	return s.open > 0 && (g.now-s.waiting).Seconds() > stallTimes*g.usual()*max(1, s.latency)
+}
+
+// usual is the mean latency over the classes.
+func (g *Gateway) usual() float64 {
+	sum := 0.0
+	for _, l := range g.latency {
+		sum += l.mean
+	}
+	return sum / float64(len(g.latency))
+}
+
+// choose picks a server for the next attempt of r, or nil.
+func (g *Gateway) choose(r *request) *server {
+	class := g.set.Classes[r.class]
+	var pool, doubtful []*server
+	total, warm := 0.0, 0.0
+	for _, s := range g.list {
+		total, warm = total+g.sentLately(s), warm+g.warmth(s)
+	}
+	out := 0
+	for _, s := range g.list {
+		if !g.inScope(r, class, s) {
+			continue
+		}
+		if w := g.warmth(s); w < 1 && s.sent+1 > 1+coldSpread*w*total/max(warm, 1) {
+			continue
+		}
+		switch {
+		case s.isOut(g.now) || g.suspect(s) || (s.trial && (s.open > 0 || class.Repeat == Unsafe)):
+			out++
+			doubtful = append(doubtful, s)
+		default:
+			pool = append(pool, s)
+		}
+	}
+	if len(pool) == 0 || float64(out) > mostOut*float64(len(g.list)) && len(pool) < 2 {
+		pool = append(pool, doubtful...)
+	}
+	var best *server
+	bestWait := math.Inf(1)
+	for i := range min(choices, len(pool)) {
+		j := i + g.rng.IntN(len(pool)-i)
+		pool[i], pool[j] = pool[j], pool[i]
+		s := pool[i]
+		wait := g.wait(s)
+		if r.tried(s) {
+			wait += 1000
+		}
+		if wait < bestWait {
+			best, bestWait = s, wait
+		}
+	}
+	return best
+}
+
+// wait ranks servers by the wait to expect there.
+func (g *Gateway) wait(s *server) float64 {
+	busy := float64(s.open) * float64(g.set.Gateways)
+	if g.set.LoadInAnswers && slices.Contains(g.set.LoadFields, FieldInFlight) && g.now-s.reported < reportLife {
+		busy = float64(s.open) + s.others
+	}
+	w := (busy + 1) * s.latency / g.warmth(s)
+	if s.Zone != g.set.Zone {
+		w *= 1.05
+	}
+	return w
+}
+
+// inScope tells whether a server discards repeats of what r may have run already.
+func (g *Gateway) inScope(r *request, class Class, s *server) bool {
+	if class.Repeat != Keyed || class.Scope == ScopeAll || r.ranAt == nil {
+		return true
+	}
+	if class.Scope == ScopeZone {
+		return s.Zone == r.ranAt.Zone
+	}
+	return s.Cell == r.ranAt.Cell
+}
+
+// judge takes an attempt's end into the health of its server.
+func (g *Gateway) judge(s *server, o Outcome) {
+	bad := 0.0
+	switch o {
+	case OK:
+		s.fails, s.outs = 0, max(0, s.outs)
+		if s.trial {
+			s.trial, s.outs, s.failing = false, 0, 0
+		}
+	case Error, TimedOut, ConnectFailed, Reset:
+		s.fails++
+		bad = 1
+	default:
+		return
+	}
+	s.failing += (bad - s.failing) * 0.1
+	if bad == 0 || s.isOut(g.now) {
+		return
+	}
+	if s.trial || s.fails >= failsToOut || s.failing > failShare {
+		g.eject(s)
+	}
+}
+
+// eject leaves a server alone for a while, unless so many are out already that the trouble must be shared.
+func (g *Gateway) eject(s *server) {
+	out := 1.0
+	for _, v := range g.list {
+		if v != s && v.isOut(g.now) {
+			out++
+		}
+	}
+	if out > mostOut*float64(len(g.list)) {
+		s.fails, s.failing = 0, 0
+		return
+	}
+	s.outUntil = g.now + min(outMost, outFirst<<min(s.outs, 4))
+	s.outs++
+	s.trial, s.fails = true, 0
+}
+
+// 5. Attempts and answers.
+
+type latency struct{ mean, dev float64 }
+
+func (l *latency) add(x float64) {
+	l.dev += (math.Abs(x-l.mean) - l.dev) * smoothing
+	l.mean += (x - l.mean) * smoothing
+}
+
+type attempt struct {
+	server *server
+	sent   time.Duration
+	open   bool
+}
+
+type request struct {
+	id        RequestID
+	class     ClassID
+	customer  *customer
+	units     float64
+	arrived   time.Duration
+	deadline  time.Duration
+	attempts  []attempt
+	ran       bool // some attempt may have run
+	ranAt     *server
+	ranSent   time.Duration // when the first that may have run was sent
+	ended     bool
+	streaming bool
+}
+
+func (r *request) tried(s *server) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
+}
+
+type answer int
+
+const (
+	answerNone answer = iota // the client has it, or is gone
+	answerRefuse
+	answerFail
+)
+
+func (g *Gateway) arrived(e Arrived) {
+	if g.requests[e.Request] != nil {
+		return
+	}
+	if e.Class < 0 || int(e.Class) >= len(g.set.Classes) {
+		g.do(Fail{Request: e.Request})
+		return
+	}
+	c := g.customer(e)
+	units := e.Units
+	if !(units >= 0) || math.IsInf(units, 0) {
+		units = 1
+	}
+	r := &request{id: e.Request, class: e.Class, customer: c, units: units, arrived: g.now,
+		deadline: g.now + max(0, e.Left)}
+	g.requests[r.id] = r
+	p := int(e.Plan)
+	if p < 0 || p >= len(g.set.Plans) {
+		p = len(g.set.Plans)
+	}
+	l := &g.loops[g.rank[e.Class][p]]
+	if !g.within(c, units, e.Class) {
+		if c.plan.OverWorth <= c.plan.OverCost {
+			g.end(r, answerRefuse)
+			return
+		}
+		l = &g.loops[len(g.loops)-1]
+	}
+	if !l.admits(c) || !c.underCeiling(units) {
+		g.end(r, answerRefuse)
+		return
+	}
+	if g.send(r) {
+		l.work += g.latency[r.class].mean
+		g.budget = min(retryBurst, g.budget+retryShare)
+		g.do(SetTimer{At: r.deadline, Timer: Timer{Kind: DeadlineTimer, Request: r.id}})
+	}
+}
+
+// send starts the next attempt, or ends the request for want of a server.
+func (g *Gateway) send(r *request) bool {
+	s := g.choose(r)
+	left := r.deadline - g.now
+	if s == nil || left <= 0 {
+		g.end(r, answerRefuse)
+		return false
+	}
+	if len(r.attempts) == 0 {
+		g.spend(r.customer, r.units)
+	}
+	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, open: true})
+	r.customer.open++
+	if s.open == 0 {
+		s.waiting = g.now
+	}
+	s.open++
+	s.sent++
+	g.do(Send{Request: r.id, Server: s.Server, Timeout: g.timeout(r, left)})
+	return true
+}
+
+// timeout gives up an attempt when another could still be in time, and else leaves it all that is left.
+func (g *Gateway) timeout(r *request, left time.Duration) time.Duration {
+	class := g.set.Classes[r.class]
+	if class.Repeat == Unsafe || class.Stream || len(r.attempts) >= g.set.MaxAttempts || g.budget < 1 {
+		return left
+	}
+	l := g.latency[r.class]
+	t := max(time.Duration((l.mean+patience*l.dev)*float64(time.Second)), class.Aim/3)
+	if class.Repeat == Keyed && g.now+t > r.arrived+class.KeyTTL {
+		return left
+	}
+	return min(t, left)
+}
+
+func (g *Gateway) attemptEnded(e AttemptEnded) {
+	r := g.requests[e.Request]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].open {
+		return
+	}
+	a := &r.attempts[e.Attempt]
+	a.open = false
+	r.customer.open--
+	s := a.server
+	s.open--
+	s.waiting = g.now
+	g.report(s, e.Load)
+	class := g.set.Classes[r.class]
+	took := (g.now - a.sent).Seconds()
+	l := &g.latency[r.class]
+	switch e.Outcome {
+	case OK:
+		if l.mean > 0 {
+			s.latency += (min(10, took/l.mean) - s.latency) * smoothing * 2
+		}
+		l.add(took)
+	case TimedOut:
+		s.latency = min(10, s.latency*1.2+0.1)
+	}
+	g.judge(s, e.Outcome)
+	if e.Outcome != Void && e.Outcome != Cancelled {
+		g.sensor.done++
+		if e.Outcome == Full || e.Outcome == TimedOut || took > class.Aim.Seconds() {
+			g.sensor.bad++
+		}
+	}
+	if !r.ran && e.Outcome != Full && e.Outcome != ConnectFailed && e.Outcome != Void {
+		r.ran, r.ranAt, r.ranSent = true, s, a.sent
+	}
+	switch {
+	case r.ended:
+		g.drop(r)
+	case e.Settled || e.Outcome == OK:
+		g.end(r, answerNone)
+	case g.mayRetry(r, class):
+		g.budget--
+		g.send(r)
+	default:
+		g.end(r, answerRefuse)
+	}
+}
+
+// mayRetry tells whether a further attempt is harmless, affordable and of use.
+func (g *Gateway) mayRetry(r *request, class Class) bool {
+	if len(r.attempts) >= g.set.MaxAttempts || g.budget < 1 || r.streaming {
+		return false
+	}
+	if r.ran && (class.Repeat == Unsafe || class.Repeat == Keyed && g.now >= r.ranSent+class.KeyTTL) {
+		return false
+	}
+	useful := r.deadline
+	if class.LateShare == 0 {
+		useful = min(useful, r.arrived+class.Aim)
+	}
+	return (useful - g.now).Seconds() > g.latency[r.class].mean/2
+}
+
+// end is the only place where a request ends. A refusal that could mislead becomes a failure: what may have run
+// and must not run again, or whose repeats only some servers discard.
+func (g *Gateway) end(r *request, a answer) {
+	r.ended = true
+	class := g.set.Classes[r.class]
+	out := false
+	for i := range r.attempts {
+		if r.attempts[i].open {
+			out = true
+			if g.set.Cancel && !r.streaming {
+				g.do(Cancel{Request: r.id, Attempt: i})
+			}
+		}
+	}
+	ran := r.ran || out
+	if ran && (class.Repeat == Unsafe || class.Repeat == Keyed && class.Scope != ScopeAll) && a == answerRefuse {
+		a = answerFail
+	}
+	switch a {
+	case answerRefuse:
+		g.do(Refuse{Request: r.id})
+	case answerFail:
+		g.do(Fail{Request: r.id})
+	}
+	g.drop(r)
+}
+
+// drop forgets an ended request once nothing of it is out.
+func (g *Gateway) drop(r *request) {
+	if !slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.open }) {
+		delete(g.requests, r.id)
+	}
+}
+
+// deadline is the backstop: an answer while the client still waits, and later an end to attempts never heard of.
+func (g *Gateway) deadline(id RequestID) {
+	r := g.requests[id]
+	if r == nil || g.now < r.deadline {
+		return
+	}
+	if !r.ended && !r.streaming {
+		g.end(r, answerRefuse)
+	}
+	if g.requests[id] == nil {
+		return
+	}
+	if g.now < r.deadline+leftover || !r.ended {
+		g.do(SetTimer{At: g.now + leftover, Timer: Timer{Kind: DeadlineTimer, Request: id}})
+		return
+	}
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.open {
+			a.open = false
+			a.server.open--
+			r.customer.open--
+		}
+	}
+	g.drop(r)
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,419 @@
+// Package wire speaks the line dialect of the bench: it parses batches of events, translates them to the
+// types of package choice, and prints actions. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"sandyard/choice"
+)
+
+// Kind tells what an Item is.
+type Kind int
+
+// The kinds of items.
+const (
+	Event Kind = iota
+	Start
+	Stop
+)
+
+// Item is one line of a batch, for one instance.
+type Item struct {
+	Instance string
+	Kind     Kind
+	Event    choice.Event    // with Event
+	Seed     uint64          // with Start
+	Settings choice.Settings // with Start
+}
+
+// Batch is what happened at one time.
+type Batch struct {
+	Now   time.Duration
+	Items []Item
+}
+
+// Reader parses batches.
+type Reader struct {
+	in    *bufio.Reader
+	line  int
+	lists map[int][]choice.ServerEntry
+}
+
+// NewReader reads batches from r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(r, 1<<16), lists: map[int][]choice.ServerEntry{}}
+}
+
+// Next returns the next batch; io.EOF says that the input ended between batches.
+func (r *Reader) Next() (Batch, error) {
+	var b Batch
+	f, err := r.fields()
+	if err != nil {
+		return b, err
+	}
+	if f.name() != "clock" {
+		return b, fmt.Errorf("line %d: message %q: expected \"clock\"", r.line, f.name())
+	}
+	b.Now = f.millis("clock")
+	if f.err != nil {
+		return b, f.err
+	}
+	for {
+		f, err := r.fields()
+		if err == io.EOF {
+			return b, fmt.Errorf("line %d: input ended inside a batch: expected \"end\"", r.line)
+		}
+		if err != nil {
+			return b, err
+		}
+		switch f.name() {
+		case "end":
+			return b, nil
+		case "census":
+			err = r.census(f)
+		default:
+			var it Item
+			if it, err = r.item(f); err == nil {
+				b.Items = append(b.Items, it)
+			}
+		}
+		if err != nil {
+			return b, err
+		}
+	}
+}
+
+func (r *Reader) fields() (*fields, error) {
+	s, err := r.in.ReadString('\n')
+	if err != nil && (err != io.EOF || s == "") {
+		return nil, err
+	}
+	r.line++
+	return &fields{line: r.line, parts: strings.Split(strings.TrimRight(s, "\r\n"), "\t")}, nil
+}
+
+func (r *Reader) census(f *fields) error {
+	id, n := f.int("roster-id"), f.int("rows-in")
+	if f.err != nil {
+		return f.err
+	}
+	if n < 0 {
+		return fmt.Errorf("line %d: census: rows-in: %d: expected a number of rows", r.line, n)
+	}
+	var list []choice.ServerEntry
+	for range n {
+		f, err := r.fields()
+		if err == io.EOF {
+			return fmt.Errorf("line %d: input ended inside a census: expected \"row\"", r.line)
+		}
+		if err != nil {
+			return err
+		}
+		if f.name() != "row" {
+			return fmt.Errorf("line %d: message %q: expected \"row\"", r.line, f.name())
+		}
+		var e choice.ServerEntry
+		e.Started = f.millis("ready-at-ms")
+		e.Cell = f.int("block")
+		f.int("class-of-host")
+		e.Server = f.server("backend")
+		e.Zone = f.int("failure-domain")
+		e.State = word(f, "health", states)
+		e.Weight = f.float("nominal")
+		if f.err != nil {
+			return f.err
+		}
+		list = append(list, e)
+	}
+	r.lists[id] = list
+	return nil
+}
+
+func (r *Reader) item(f *fields) (Item, error) {
+	switch f.name() {
+	case "init", "stop", "accept", "left", "reply", "under_way", "probed", "added", "directory_update",
+		"timer", "note_from":
+	default:
+		return Item{}, fmt.Errorf("line %d: message %q: expected an event of the wire", r.line, f.name())
+	}
+	it := Item{Instance: f.text("who")}
+	switch f.name() {
+	case "init":
+		it.Kind, it.Seed = Start, f.uint("seed", 10)
+		it.Settings = settings(f, f.rest())
+	case "stop":
+		it.Kind = Stop
+	case "accept":
+		it.Event = choice.Arrived{Request: f.request("job"), Class: choice.ClassID(f.int("lane")),
+			Plan: choice.PlanID(f.int("tier")), Customer: f.text("user-key"), Left: f.millis("time-budget-ms"),
+			Units: f.float("cost-units"), Spread: f.int("width"), First: f.int("base")}
+		f.int("marks")
+	case "left":
+		it.Event = choice.ClientLeft{Request: f.request("job")}
+	case "reply":
+		e := choice.AttemptEnded{Request: f.request("job"), Latency: f.millis("wait-time-ms")}
+		e.Units = f.float("cost")
+		f.int("usage")
+		e.Outcome = word(f, "how", outcomes)
+		e.Server, e.Settled, e.Attempt = f.server("backend"), f.bool("settled"), f.int("go")
+		e.Load = f.load("load")
+		it.Event = e
+	case "under_way":
+		it.Event = choice.StreamStarted{Request: f.request("job"), Attempt: f.int("go"), Server: f.server("backend")}
+		f.millis("wait-time-ms")
+	case "probed":
+		e := choice.ProbeEnded{Server: f.server("backend"), Outcome: word(f, "how", outcomes)}
+		f.millis("wait-time-ms")
+		e.Load = f.load("load")
+		it.Event = e
+	case "added":
+		e := choice.Counted{Outcome: word(f, "how", outcomes)}
+		f.millis("wait-time-ms")
+		e.Total, e.Name = f.float("sum"), f.text("counter-key")
+		it.Event = e
+	case "directory_update":
+		var e choice.ServersChanged
+		mode := f.text("mode")
+		switch mode {
+		case "update":
+		case "replace":
+			e.Full = true
+		case "restored":
+			e.Full, e.Cached = true, true
+		case "unavailable":
+			e.Failed = true
+		default:
+			f.fail("mode", mode, "update, replace, restored or unavailable")
+		}
+		if id := f.int("roster-id"); !e.Failed && f.err == nil {
+			list, ok := r.lists[id]
+			if !ok {
+				f.fail("roster-id", strconv.Itoa(id), "the number of a census sent before")
+			}
+			e.Entries = list
+		}
+		f.text("serial")
+		it.Event = e
+	case "timer":
+		it.Event = choice.TimerFired{Timer: f.timer("token")}
+	case "note_from":
+		f.int("from")
+		it.Event = nil
+	}
+	return it, f.err
+}
+
+var (
+	states   = map[string]choice.ServerState{"up": choice.Up, "draining": choice.Draining, "removed": choice.Gone}
+	outcomes = map[string]choice.Outcome{"delivered": choice.OK, "app_error": choice.Error, "shed": choice.Full,
+		"expired": choice.TimedOut, "dial_failed": choice.ConnectFailed, "dropped": choice.Reset,
+		"revoked": choice.Cancelled, "unused": choice.Void}
+)
+
+// fields takes the parts of a line one by one and keeps the first error.
+type fields struct {
+	line  int
+	next  int
+	parts []string
+	err   error
+}
+
+func (f *fields) name() string { return f.parts[0] }
+
+func (f *fields) fail(field, got, want string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("line %d: %s: %s: %q: expected %s", f.line, f.name(), field, got, want)
+	}
+}
+
+// take returns the next part; "" stands for an absent value.
+func (f *fields) take(field string) string {
+	f.next++
+	if f.next >= len(f.parts) {
+		f.fail(field, "", "a value, but the line ended")
+		return ""
+	}
+	if s := f.parts[f.next]; s != "-" {
+		return s
+	}
+	return ""
+}
+
+func (f *fields) rest() []string {
+	if f.next+1 >= len(f.parts) {
+		return nil
+	}
+	return f.parts[f.next+1:]
+}
+
+func (f *fields) text(field string) string {
+	s := f.take(field)
+	if s == "" {
+		f.fail(field, s, "a text")
+	}
+	return s
+}
+
+func (f *fields) uint(field string, base int) uint64 {
+	s := f.take(field)
+	n, err := strconv.ParseUint(s, base, 64)
+	if err != nil {
+		f.fail(field, s, fmt.Sprintf("a whole number in base %d", base))
+	}
+	return n
+}
+
+func (f *fields) request(field string) choice.RequestID { return choice.RequestID(f.uint(field, 16)) }
+
+func (f *fields) server(field string) choice.ServerID {
+	n := f.uint(field, 10)
+	if n > math.MaxUint32 {
+		f.fail(field, strconv.FormatUint(n, 10), "a number below 2^32")
+	}
+	return choice.ServerID(n)
+}
+
+// int reads a whole number; absent is 0.
+func (f *fields) int(field string) int {
+	s := f.take(field)
+	if s == "" {
+		return 0
+	}
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		f.fail(field, s, "a whole number")
+	}
+	return n
+}
+
+// float reads a finite number; absent is 0.
+func (f *fields) float(field string) float64 {
+	s := f.take(field)
+	if s == "" {
+		return 0
+	}
+	x, ok := number(s)
+	if !ok {
+		f.fail(field, s, "a number")
+	}
+	return x
+}
+
+func (f *fields) millis(field string) time.Duration { return millis(f.float(field)) }
+
+func (f *fields) bool(field string) bool {
+	switch s := f.take(field); s {
+	case "1":
+		return true
+	case "0", "":
+	default:
+		f.fail(field, s, "1 or 0")
+	}
+	return false
+}
+
+func (f *fields) load(field string) []float64 {
+	s := f.take(field)
+	if s == "" {
+		return nil
+	}
+	var out []float64
+	for _, p := range strings.Split(s, ",") {
+		x, ok := number(p)
+		if !ok {
+			f.fail(field, s, "numbers set apart by commas")
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+func (f *fields) timer(field string) choice.Timer {
+	s := f.text(field)
+	kind, id, ok := strings.Cut(s, ".")
+	k, err1 := strconv.Atoi(kind)
+	n, err2 := strconv.ParseUint(id, 16, 64)
+	if !ok || err1 != nil || err2 != nil {
+		return choice.Timer{Kind: -1} // not one of ours: the gateway ignores it
+	}
+	return choice.Timer{Kind: choice.TimerKind(k), Request: choice.RequestID(n)}
+}
+
+func word[T any](f *fields, field string, known map[string]T) T {
+	s := f.take(field)
+	v, ok := known[s]
+	if !ok {
+		f.fail(field, s, "a word of the wire")
+	}
+	return v
+}
+
+func number(s string) (float64, bool) {
+	x, err := strconv.ParseFloat(s, 64)
+	return x, err == nil && !math.IsNaN(x) && !math.IsInf(x, 0)
+}
+
+// millis turns milliseconds into a duration, to the microsecond, within what a duration holds.
+func millis(ms float64) time.Duration {
+	const most = float64(math.MaxInt64/4) / float64(time.Microsecond)
+	return time.Duration(math.Round(max(-most, min(most, ms*1000)))) * time.Microsecond
+}
+
+// Writer prints replies.
+type Writer struct{ out *bufio.Writer }
+
+// NewWriter writes replies to w.
+func NewWriter(w io.Writer) *Writer { return &Writer{out: bufio.NewWriterSize(w, 1<<16)} }
+
+// Action prints one action of an instance.
+func (w *Writer) Action(instance string, a choice.Action) {
+	switch a := a.(type) {
+	case choice.Send:
+		w.line("deliver", instance, hex(a.Request), server(a.Server), ms(a.Timeout))
+	case choice.Cancel:
+		w.line("undo_send", instance, hex(a.Request), strconv.Itoa(a.Attempt))
+	case choice.Refuse:
+		w.line("decline", instance, hex(a.Request), ms(a.RetryAfter))
+	case choice.Fail:
+		w.line("surrender", instance, hex(a.Request))
+	case choice.Probe:
+		w.line("ask_load", instance, server(a.Server))
+	case choice.Count:
+		w.line("charge_counter", instance, a.Name, strconv.FormatFloat(a.Amount, 'f', -1, 64), ms(a.TTL))
+	case choice.SetTimer:
+		w.line("remind", instance, ms(a.At), fmt.Sprintf("%d.%x", int(a.Timer.Kind), uint64(a.Timer.Request)))
+	case choice.Subscribe:
+		w.line("stream_changes", instance, "1")
+	}
+}
+
+// Done ends a reply and hands it on.
+func (w *Writer) Done() error {
+	w.line("done")
+	return w.out.Flush()
+}
+
+func (w *Writer) line(parts ...string) {
+	for i, p := range parts {
+		if i > 0 {
+			w.out.WriteByte('\t')
+		}
+		w.out.WriteString(p)
+	}
+	w.out.WriteByte('\n')
+}
+
+func hex(id choice.RequestID) string { return fmt.Sprintf("%016x", uint64(id)) }
+
+func server(id choice.ServerID) string { return strconv.FormatUint(uint64(id), 10) }
+
+func ms(d time.Duration) string {
+	return strconv.FormatFloat(float64(d.Microseconds())/1000, 'f', -1, 64)
+}
