Outcome sensor: pool per server without the worst quarter

Cause: ordinary time-outs (set near the 98th percentile) passed the 3% target and cut f to its floor. Time-outs are longer now and the worst quarter of the servers is left out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,6 +4,7 @@
 package choice
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -19,7 +20,9 @@
 	period      = 500 * time.Millisecond // T of the loops: several service times, few per trouble
 	margin      = 4.0                    // G, gain margin of the loops
 	leastAdmit  = 0.01                   // least f: a trickle that keeps the sensor alive
-	badTarget   = 0.03                   // share of bad attempts held as the outcome set point
+	badTarget   = 0.05                   // share of bad attempts held as the outcome set point
+	worstPart   = 0.25                   // share of servers whose outcomes are left out of it
+	forget      = 0.6                    // weight that outcomes keep for the next period
 	justBelow   = 0.95                   // set point, as a share of the load where servers refuse
 	leastKnee   = 0.5                    // lowest share of full use that is learned as the knee
 	kneeDown    = 0.97                   // factor on the knee for a period that refuses below it
@@ -40,7 +43,7 @@
 	coldSpread  = 2.0                    // a cold server gets at most this multiple of its weight's share
 	retryShare  = 0.2                    // further attempts per first attempt
 	retryBurst  = 20.0                   // further attempts at once
-	patience    = 5.0                    // deviations above the mean latency that an attempt may take
+	patience    = 8.0                    // deviations above the mean latency that an attempt may take
 	smoothing   = 0.05                   // weight of a new latency
 	customerTTL = 60 * time.Second       // a customer idle for this long is forgotten
 	leftover    = 30 * time.Second       // an attempt whose outcome never comes is forgotten this long after its end
@@ -160,12 +163,9 @@
 // 1. Sensor: how loaded the back end is.
 
 type sensor struct {
-	util     bool    // reports tell how busy the processors are; else what is in flight
-	knee     float64 // reported load at which servers begin to refuse
-	sampled  time.Duration
-	done     float64 // attempts that ended in this period
-	bad      float64 // of these, refused as full, timed out or slower than their aim
-	badShare float64 // smoothed
+	util    bool    // reports tell how busy the processors are; else what is in flight
+	knee    float64 // reported load at which servers begin to refuse
+	sampled time.Duration
 }
 
 func (s *sensor) init(fields []LoadField, now time.Duration) {
@@ -198,19 +198,14 @@
 // tell of more trouble: a server that fails fast, or whose report froze, must not read as room.
 func (g *Gateway) estimate() float64 {
 	s := &g.sensor
-	share := 0.0
-	if s.done > 0 {
-		share = s.bad / s.done
-	}
-	s.badShare += (share - s.badShare) * min(1, s.done/20)
-	s.done, s.bad = 0, 0
+	bad := g.badShare()
 	sum, n := 0.0, 0.0
 	for _, v := range g.list {
 		if v.reported > 0 && g.now-v.reported < reportLife && !v.isOut(g.now) {
 			sum, n = sum+v.load, n+1
 		}
 	}
-	byOutcome := s.badShare / badTarget
+	byOutcome := bad / badTarget
 	if n*2 < float64(len(g.list)) || n == 0 {
 		return min(byOutcome, 2) * justBelow
 	}
@@ -232,11 +227,29 @@
 		u = mean / s.knee
 	}
 	if byOutcome > 1 {
-		u = max(u, justBelow*(1+s.badShare-badTarget))
+		u = max(u, justBelow*(1+bad-badTarget))
 	}
 	return u
 }
 
+// badShare is the share of attempts lately refused as full or slower than their aim. The worst servers are left
+// out: what a few of them do is their own trouble, overload shows on all.
+func (g *Gateway) badShare() float64 {
+	by := slices.Clone(g.list)
+	slices.SortStableFunc(by, func(a, b *server) int { return cmp.Compare(a.bad/(a.done+1), b.bad/(b.done+1)) })
+	done, bad := 0.0, 0.0
+	for i, s := range by {
+		if float64(i) < float64(len(by))*(1-worstPart) {
+			done, bad = done+s.done, bad+s.bad
+		}
+		s.done, s.bad = s.done*forget, s.bad*forget
+	}
+	if done < 1 {
+		return 0
+	}
+	return bad / (done + 1)
+}
+
 // 2. Loops: the fraction of customers admitted, by priority class.
 
 type loop struct {
@@ -260,7 +273,7 @@
 			worths = append(worths, worth(c, p))
 		}
 	}
-	slices.SortFunc(worths, func(a, b float64) int { return -compare(a, b) })
+	slices.SortFunc(worths, func(a, b float64) int { return cmp.Compare(b, a) })
 	worths = slices.Compact(worths)
 	for _, w := range worths {
 		g.loops = append(g.loops, loop{worth: w, f: 1})
@@ -275,16 +288,6 @@
 	}
 }
 
-func compare(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // control moves every f once a period. A class's set point is what the classes above it leave (section 5 of the
 // paper); U is split by the work admitted. In this incremental form the integrator halts at the bounds of f.
 func (g *Gateway) control() {
@@ -388,7 +391,9 @@
 }
 
 // window is how many seconds fill an empty ceiling store.
-func (c *customer) window() int { return int(min(30, math.Ceil(c.plan.CeilingBurst/c.plan.CeilingRate))) }
+func (c *customer) window() int {
+	return int(min(30, math.Ceil(c.plan.CeilingBurst/c.plan.CeilingRate)))
+}
 
 func (c *customer) ttl() time.Duration { return time.Duration(c.ttlSeconds()) * time.Second }
 
@@ -637,6 +642,8 @@
 	cold     bool
 	sent     float64 // attempts lately, decayed over OverloadTime
 	sentAt   time.Duration
+	done     float64 // attempts that ended lately
+	bad      float64 // of these, refused as full or slower than their aim
 }
 
 func (s *server) isOut(now time.Duration) bool { return now < s.outUntil }
@@ -929,7 +936,9 @@
 		return left
 	}
 	l := g.latency[r.class]
-	t := max(time.Duration((l.mean+patience*l.dev)*float64(time.Second)), class.Aim/3)
+	room := class.Aim - time.Duration(1.5*l.mean*float64(time.Second)) // what a further attempt leaves
+	t := min(time.Duration((l.mean+patience*l.dev)*float64(time.Second)), room)
+	t = max(t, class.Aim/3)
 	if class.Repeat == Keyed && g.now+t > r.arrived+class.KeyTTL {
 		return left
 	}
@@ -958,13 +967,14 @@
 		}
 		l.add(took)
 	case TimedOut:
+		l.add(took)
 		s.latency = min(10, s.latency*1.2+0.1)
 	}
 	g.judge(s, e.Outcome)
 	if e.Outcome != Void && e.Outcome != Cancelled {
-		g.sensor.done++
+		s.done++
 		if e.Outcome == Full || e.Outcome == TimedOut || took > class.Aim.Seconds() {
-			g.sensor.bad++
+			s.bad++
 		}
 	}
 	if !r.ran && e.Outcome != Full && e.Outcome != ConnectFailed && e.Outcome != Void {
