Sensor: U from the expected wait in line

Cause: slow answers reach the sensor seconds after the line has formed and linger after it has gone, so f fell late and stayed low; wholesale ejection under shared load made it worse. U is now the place in line times what a place takes, sampled each tick.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,22 +17,25 @@
 // Tuned constants. Those that the design leaves open were set by measurement; docs/design.md has the record.
 const (
 	tick        = 50 * time.Millisecond  // housekeeping; well under any aim
-	period      = 500 * time.Millisecond // T of the loops: several service times, few per trouble
+	period      = 200 * time.Millisecond // T of the loops: several service times, few per trouble
 	margin      = 4.0                    // G, gain margin of the loops
 	leastAdmit  = 0.01                   // least f: a trickle that keeps the sensor alive
-	badTarget   = 0.05                   // share of bad attempts held as the outcome set point
 	worstPart   = 0.25                   // share of servers whose outcomes are left out of it
-	forget      = 0.6                    // weight that outcomes keep for the next period
+	forget      = 0.8                    // weight that outcomes keep for the next period
 	justBelow   = 0.95                   // set point, as a share of the load where servers refuse
-	leastKnee   = 0.5                    // lowest share of full use that is learned as the knee
+	slowest     = 0.5                    // expected latency, as a share of the aim, that counts as full load
+	tooSlow     = 0.9                    // the same at which an attempt is not begun
+	leastKnee   = 0.85                   // lowest share of full use that is learned as the knee
+	kneeMost    = 1.05                   // where it starts: reported use alone cuts nobody before slow answers are seen
 	kneeDown    = 0.97                   // factor on the knee for a period that refuses below it
-	kneeUp      = 1.005                  // factor for a busy period that does not
+	kneeUp      = 1.02                   // factor for a busy period that does not
 	reportLife  = 3 * time.Second        // a load report older than this is stale
 	addEvery    = 250 * time.Millisecond // interval of counter adds near a quota
 	addAtLeast  = time.Second            // interval far from it
 	addCalm     = 0.25                   // far: new use over all gateways below this share of what is unspent
 	addBackoff  = 2 * time.Second        // longest wait after failed adds
 	othersLag   = time.Second            // smoothing of the use seen from other gateways
+	otherZone   = 1.05                   // factor on the expected wait in another zone
 	choices     = 3                      // servers compared for one attempt
 	failsToOut  = 3                      // failures in a row that eject a server
 	failShare   = 0.5                    // or this share of its recent attempts
@@ -96,7 +99,11 @@
 		set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, budget: retryBurst,
 		customers: map[string]*customer{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
 	}
-	g.sensor.init(set.LoadFields, now)
+	g.sensor = sensor{knee: kneeMost, sampled: now, places: 1}
+	for _, c := range set.Classes {
+		g.sensor.aim += c.Aim.Seconds() / float64(len(set.Classes))
+	}
+	g.sensor.took = g.sensor.aim / 8
 	g.rankClasses()
 	for _, c := range set.Classes {
 		g.latency = append(g.latency, latency{mean: c.Aim.Seconds() / 6, dev: c.Aim.Seconds() / 12})
@@ -153,6 +160,7 @@
 
 func (g *Gateway) tick() {
 	g.do(SetTimer{At: g.now + tick, Timer: Timer{Kind: TickTimer}})
+	g.watch()
 	g.addUse()
 	g.sweep()
 	if g.now-g.sensor.sampled >= period {
@@ -163,16 +171,13 @@
 // 1. Sensor: how loaded the back end is.
 
 type sensor struct {
-	util    bool    // reports tell how busy the processors are; else what is in flight
-	knee    float64 // reported load at which servers begin to refuse
+	knee    float64 // reported use of processors at which answers are seen to slow
 	sampled time.Duration
-}
-
-func (s *sensor) init(fields []LoadField, now time.Duration) {
-	s.util, s.knee, s.sampled = slices.Contains(fields, FieldUtil), math.Inf(1), now
-	if s.util {
-		s.knee = 1
-	}
+	took    float64 // recent latencies, and the places in line that they were spent in
+	places  float64
+	aim     float64 // usual aim, seconds
+	queue   float64 // sum over the ticks of this period of the wait to expect, as a share of the aim
+	ticks   float64
 }
 
 // report keeps a server's load. Figures that no server can have are not taken.
@@ -187,49 +192,69 @@
 		case FieldInFlight:
 			others := max(0, load[i]-float64(s.open))
 			s.others += (others - s.others) / 2
-			if !g.sensor.util {
-				s.load, s.reported = load[i], g.now
-			}
+			s.counted = g.now
 		}
 	}
 }
 
-// estimate gives U as a share of the knee. Attempt outcomes speak when reports are missing, and always when they
-// tell of more trouble: a server that fails fast, or whose report froze, must not read as room.
+// expect is the latency to expect of a new attempt at s, in seconds: its place in line times what a place takes.
+// It rises with the line at once, long before slow answers come back, and does not depend on reports: a server
+// that fails fast, or whose report froze, does not read as room.
+func (g *Gateway) expect(s *server) float64 {
+	return g.sensor.took / g.sensor.places * (g.busy(s) + 1) * s.slowness / g.warmth(s)
+}
+
+// busy is the number of attempts in work at s from all gateways; from this one's share where reports do not tell.
+func (g *Gateway) busy(s *server) float64 {
+	if s.counted > 0 && g.now-s.counted < reportLife {
+		return float64(s.open) + s.others
+	}
+	return float64(s.open * g.set.Gateways)
+}
+
+// watch samples the lines at the servers once a tick. The worst are left out: overload shows on all.
+func (g *Gateway) watch() {
+	var waits []float64
+	for _, s := range g.list {
+		waits = append(waits, g.expect(s))
+	}
+	slices.Sort(waits)
+	sum := 0.0
+	n := int(math.Ceil(float64(len(waits)) * (1 - worstPart)))
+	for _, w := range waits[:n] {
+		sum += w
+	}
+	if n > 0 {
+		g.sensor.queue += sum / float64(n) / g.sensor.aim
+	}
+	g.sensor.ticks++
+}
+
+// estimate gives U, where 1 is the load at which servers refuse or are too slow. It is the larger of the use that
+// they report, as a share of its knee, and of the line seen at them.
 func (g *Gateway) estimate() float64 {
 	s := &g.sensor
 	bad := g.badShare()
+	queue := s.queue / max(1, s.ticks) / slowest
+	s.queue, s.ticks = 0, 0
+	u := max(queue, min(1, bad))
 	sum, n := 0.0, 0.0
 	for _, v := range g.list {
 		if v.reported > 0 && g.now-v.reported < reportLife && !v.isOut(g.now) {
 			sum, n = sum+v.load, n+1
 		}
 	}
-	byOutcome := bad / badTarget
 	if n*2 < float64(len(g.list)) || n == 0 {
-		return min(byOutcome, 2) * justBelow
+		return u
 	}
 	mean := sum / n
 	switch {
-	case byOutcome > 1 && mean < s.knee:
-		if math.IsInf(s.knee, 1) {
-			s.knee = mean
-		}
+	case u > 1 && mean < s.knee:
 		s.knee = max(s.knee*kneeDown, mean, leastKnee)
-	case mean > justBelow*s.knee:
-		s.knee *= kneeUp
-		if s.util {
-			s.knee = min(s.knee, 1)
-		}
-	}
-	u := 0.0
-	if !math.IsInf(s.knee, 1) {
-		u = mean / s.knee
-	}
-	if byOutcome > 1 {
-		u = max(u, justBelow*(1+bad-badTarget))
+	case u < justBelow && mean > justBelow*s.knee:
+		s.knee = min(kneeMost, s.knee*kneeUp)
 	}
-	return u
+	return max(u, mean/s.knee)
 }
 
 // badShare is the share of attempts lately refused as full or slower than their aim. The worst servers are left
@@ -631,7 +656,8 @@
 	others   float64 // in flight from other gateways, by reports
 	load     float64 // last report, and when
 	reported time.Duration
-	latency  float64       // relative to what its classes usually take
+	counted  time.Duration // when others was reported
+	slowness float64       // latency in a place in line, relative to the fleet
 	waiting  time.Duration // since when an answer is due
 	fails    int           // in a row
 	failing  float64       // recent share
@@ -663,7 +689,7 @@
 	for _, n := range e.Entries {
 		s := g.servers[n.Server]
 		if s == nil {
-			s = &server{latency: 1, known: g.now}
+			s = &server{slowness: 1, known: g.now}
 			g.servers[n.Server] = s
 		}
 		if n.Started > s.Started && n.Started > 0 && n.Started+g.set.ColdTime > g.now {
@@ -705,7 +731,7 @@
 
 // suspect tells that a server leaves attempts unanswered for much longer than usual: hung, stalled or vanished.
 func (g *Gateway) suspect(s *server) bool {
-	return s.open > 0 && (g.now-s.waiting).Seconds() > stallTimes*g.usual()*max(1, s.latency)
+	return s.open > 0 && (g.now-s.waiting).Seconds() > stallTimes*g.usual()*max(1, s.slowness)
 }
 
 // usual is the mean latency over the classes.
@@ -761,15 +787,11 @@
 	return best
 }
 
-// wait ranks servers by the wait to expect there.
+// wait ranks servers by the latency to expect there; one in another zone must be clearly better.
 func (g *Gateway) wait(s *server) float64 {
-	busy := float64(s.open) * float64(g.set.Gateways)
-	if g.set.LoadInAnswers && slices.Contains(g.set.LoadFields, FieldInFlight) && g.now-s.reported < reportLife {
-		busy = float64(s.open) + s.others
-	}
-	w := (busy + 1) * s.latency / g.warmth(s)
+	w := g.expect(s)
 	if s.Zone != g.set.Zone {
-		w *= 1.05
+		w *= otherZone
 	}
 	return w
 }
@@ -804,7 +826,11 @@
 	if bad == 0 || s.isOut(g.now) {
 		return
 	}
-	if s.trial || s.fails >= failsToOut || s.failing > failShare {
+	fleet := 0.0
+	for _, v := range g.list {
+		fleet += v.failing / float64(len(g.list))
+	}
+	if s.trial || (s.fails >= failsToOut || s.failing > failShare) && s.failing > 2*fleet {
 		g.eject(s)
 	}
 }
@@ -838,6 +864,7 @@
 type attempt struct {
 	server *server
 	sent   time.Duration
+	place  float64 // in line at its server
 	open   bool
 }
 
@@ -911,14 +938,14 @@
 func (g *Gateway) send(r *request) bool {
 	s := g.choose(r)
 	left := r.deadline - g.now
-	if s == nil || left <= 0 {
+	if s == nil || left <= 0 || g.expect(s) > tooSlow*g.set.Classes[r.class].Aim.Seconds() && !r.ran {
 		g.end(r, answerRefuse)
 		return false
 	}
 	if len(r.attempts) == 0 {
 		g.spend(r.customer, r.units)
 	}
-	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, open: true})
+	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: g.busy(s) + 1, open: true})
 	r.customer.open++
 	if s.open == 0 {
 		s.waiting = g.now
@@ -962,13 +989,10 @@
 	l := &g.latency[r.class]
 	switch e.Outcome {
 	case OK:
-		if l.mean > 0 {
-			s.latency += (min(10, took/l.mean) - s.latency) * smoothing * 2
-		}
+		g.learn(s, a, took)
 		l.add(took)
 	case TimedOut:
-		l.add(took)
-		s.latency = min(10, s.latency*1.2+0.1)
+		g.learn(s, a, took)
 	}
 	g.judge(s, e.Outcome)
 	if e.Outcome != Void && e.Outcome != Cancelled {
@@ -993,6 +1017,14 @@
 	}
 }
 
+// learn takes a latency into what a place in line takes, and into how slow the server is beside the others.
+func (g *Gateway) learn(s *server, a *attempt, took float64) {
+	m := &g.sensor
+	s.slowness += (min(10, took*m.places/(m.took*a.place)) - s.slowness) * 2 * smoothing
+	m.took += (took - m.took) * smoothing / 2
+	m.places += (a.place - m.places) * smoothing / 2
+}
+
 // mayRetry tells whether a further attempt is harmless, affordable and of use.
 func (g *Gateway) mayRetry(r *request, class Class) bool {
 	if len(r.attempts) >= g.set.MaxAttempts || g.budget < 1 || r.streaming {
