Time-outs no shorter than the aim, lower line target

Attempts given up on go on running unseen where cancelling frees nothing, so early time-outs under pressure made the line they fled.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,9 +23,9 @@
 	worstPart   = 0.25                   // share of servers whose outcomes are left out of it
 	forget      = 0.8                    // weight that outcomes keep for the next period
 	justBelow   = 0.95                   // set point, as a share of the load where servers refuse
-	slowest     = 0.5                    // expected latency, as a share of the aim, that counts as full load
-	tooSlow     = 0.9                    // the same at which an attempt is not begun
-	leastKnee   = 0.85                   // lowest share of full use that is learned as the knee
+	slowest     = 0.35                   // expected latency, as a share of the aim, that counts as full load
+	tooSlow     = 0.6                    // the same at which an attempt is not begun
+	leastKnee   = 0.97                   // lowest share of full use that is learned as the knee
 	kneeMost    = 1.05                   // where it starts: reported use alone cuts nobody before slow answers are seen
 	kneeDown    = 0.97                   // factor on the knee for a period that refuses below it
 	kneeUp      = 1.02                   // factor for a busy period that does not
@@ -237,7 +237,7 @@
 	bad := g.badShare()
 	queue := s.queue / max(1, s.ticks) / slowest
 	s.queue, s.ticks = 0, 0
-	u := max(queue, min(1, bad))
+	u := max(queue, 0.5*bad)
 	sum, n := 0.0, 0.0
 	for _, v := range g.list {
 		if v.reported > 0 && g.now-v.reported < reportLife && !v.isOut(g.now) {
@@ -963,9 +963,7 @@
 		return left
 	}
 	l := g.latency[r.class]
-	room := class.Aim - time.Duration(1.5*l.mean*float64(time.Second)) // what a further attempt leaves
-	t := min(time.Duration((l.mean+patience*l.dev)*float64(time.Second)), room)
-	t = max(t, class.Aim/3)
+	t := max(time.Duration((l.mean+patience*l.dev)*float64(time.Second)), class.Aim)
 	if class.Repeat == Keyed && g.now+t > r.arrived+class.KeyTTL {
 		return left
 	}
