--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,12 +17,15 @@
 // Tuned constants. Those that the design leaves open were set by measurement; docs/design.md has the record.
 const (
 	tick        = 50 * time.Millisecond  // housekeeping; well under any aim
-	period      = 200 * time.Millisecond // T of the loops: several service times, few per trouble
-	margin      = 4.0                    // G, gain margin of the loops
+	period      = 300 * time.Millisecond // T of the loops: several service times, few per trouble
+	margin      = 12.0                   // G, gain margin of the loops
+	offeredOver = 2 * time.Second        // smoothing of the work asked for and granted
 	leastAdmit  = 0.01                   // least f: a trickle that keeps the sensor alive
 	worstPart   = 0.25                   // share of servers whose outcomes are left out of it
 	forget      = 0.8                    // weight that outcomes keep for the next period
 	justBelow   = 0.95                   // set point, as a share of the load where servers refuse
+	linger      = time.Second            // how fast what others have in work is forgotten without news
+	mostOver    = 1.3                    // U is read up to this: a jam is not more urgent for being long
 	slowest     = 0.35                   // expected latency, as a share of the aim, that counts as full load
 	tooSlow     = 0.6                    // the same at which an attempt is not begun
 	leastKnee   = 0.97                   // lowest share of full use that is learned as the knee
@@ -175,6 +178,7 @@
 	sampled time.Duration
 	took    float64 // recent latencies, and the places in line that they were spent in
 	places  float64
+	granted float64 // work admitted over all classes, smoothed like loop.asked
 	aim     float64 // usual aim, seconds
 	queue   float64 // sum over the ticks of this period of the wait to expect, as a share of the aim
 	ticks   float64
@@ -207,7 +211,7 @@
 // busy is the number of attempts in work at s from all gateways; from this one's share where reports do not tell.
 func (g *Gateway) busy(s *server) float64 {
 	if s.counted > 0 && g.now-s.counted < reportLife {
-		return float64(s.open) + s.others
+		return float64(s.open) + s.others*math.Exp(-(g.now-s.counted).Seconds()/linger.Seconds())
 	}
 	return float64(s.open * g.set.Gateways)
 }
@@ -282,6 +286,7 @@
 	f     float64
 	err   float64 // last control error
 	work  float64 // admitted in this period, in seconds of service
+	asked float64 // asked for, smoothed over offeredOver
 }
 
 // rankClasses gives each worth that a class under a plan can have its loop.
@@ -315,8 +320,9 @@
 
 // control moves every f once a period. A class's set point is what the classes above it leave (section 5 of the
 // paper); U is split by the work admitted. In this incremental form the integrator halts at the bounds of f.
+// p_max, U over f at the set point, is the set point times what a class asks for over what all are granted.
 func (g *Gateway) control() {
-	u := g.estimate()
+	u := min(mostOver, g.estimate())
 	t := (g.now - g.sensor.sampled).Seconds()
 	g.sensor.sampled = g.now
 	w := 5 * math.Pi / (3 * t)
@@ -325,6 +331,8 @@
 	for _, l := range g.loops {
 		total += l.work
 	}
+	keep := math.Exp(-t / offeredOver.Seconds())
+	g.sensor.granted = g.sensor.granted*keep + total
 	left := justBelow
 	for i := range g.loops {
 		l := &g.loops[i]
@@ -333,10 +341,10 @@
 			own = u * l.work / total
 		}
 		e := left - own
-		pmax := max(left, own, 0.05) / l.f
+		pmax := justBelow * max(l.asked, g.sensor.granted/20) / max(g.sensor.granted, 1e-9)
 		kp := math.Sqrt(3) / (2 * margin * pmax)
 		l.f = min(1, max(leastAdmit, l.f+kp*(e-l.err+ki*t*e)))
-		l.err, l.work = e, 0
+		l.err, l.work, l.asked = e, 0, l.asked*keep
 		left = max(0, left-own)
 	}
 }
@@ -923,6 +931,7 @@
 		}
 		l = &g.loops[len(g.loops)-1]
 	}
+	l.asked += g.latency[r.class].mean
 	if !l.admits(c) || !c.underCeiling(units) {
 		g.end(r, answerRefuse)
 		return
