--- a/choice/choice.go
+++ b/choice/choice.go
@@ -5,12 +5,15 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -18,7 +21,7 @@
 const (
 	tick        = 50 * time.Millisecond  // housekeeping; well under any aim
 	period      = 300 * time.Millisecond // T of the loops: several service times, few per trouble
-	margin      = 12.0                   // G, gain margin of the loops
+	margin      = 30.0                   // G, gain margin of the loops
 	offeredOver = 2 * time.Second        // smoothing of the work asked for and granted
 	leastAdmit  = 0.01                   // least f: a trickle that keeps the sensor alive
 	worstPart   = 0.25                   // share of servers whose outcomes are left out of it
@@ -51,6 +54,7 @@
 	retryBurst  = 20.0                   // further attempts at once
 	patience    = 8.0                    // deviations above the mean latency that an attempt may take
 	smoothing   = 0.05                   // weight of a new latency
+	nameSeconds = 5                      // life of a counter name beyond the seconds it may be read for
 	customerTTL = 60 * time.Second       // a customer idle for this long is forgotten
 	leftover    = 30 * time.Second       // an attempt whose outcome never comes is forgotten this long after its end
 )
@@ -69,7 +73,8 @@
 	customers map[string]*customer
 	roll      []*customer // the same, for sweeping a few at a time
 	swept     int
-	due       []*customer // customers with units to add
+	due       []*customer          // customers with units to add
+	calls     map[string]*customer // counter calls under way, by name
 	servers   map[ServerID]*server
 	list      []*server // those that discovery has up
 	requests  map[RequestID]*request
@@ -100,13 +105,13 @@
 	set.MaxAttempts, set.Gateways = max(1, set.MaxAttempts), max(1, set.Gateways)
 	g := &Gateway{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, budget: retryBurst,
-		customers: map[string]*customer{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
+		customers: map[string]*customer{}, calls: map[string]*customer{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
 	}
 	g.sensor = sensor{knee: kneeMost, sampled: now, places: 1}
 	for _, c := range set.Classes {
 		g.sensor.aim += c.Aim.Seconds() / float64(len(set.Classes))
 	}
-	g.sensor.took = g.sensor.aim / 8
+	g.sensor.took, g.sensor.usual = g.sensor.aim/8, g.sensor.aim/6
 	g.rankClasses()
 	for _, c := range set.Classes {
 		g.latency = append(g.latency, latency{mean: c.Aim.Seconds() / 6, dev: c.Aim.Seconds() / 12})
@@ -115,7 +120,9 @@
 		g.do(Subscribe{})
 	}
 	g.do(SetTimer{At: now + tick, Timer: Timer{Kind: TickTimer}})
-	return g, g.take(), nil
+	first := g.out
+	g.out = nil
+	return g, first, nil
 }
 
 // Handle takes in an event and returns what to do now. Events that name what is unknown or over are ignored.
@@ -150,17 +157,13 @@
 			g.deadline(e.Timer.Request)
 		}
 	}
-	return g.take()
-}
-
-func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
-
-func (g *Gateway) take() []Action {
 	out := g.out
 	g.out = nil
 	return out
 }
 
+func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
+
 func (g *Gateway) tick() {
 	g.do(SetTimer{At: g.now + tick, Timer: Timer{Kind: TickTimer}})
 	g.watch()
@@ -178,6 +181,7 @@
 	sampled time.Duration
 	took    float64 // recent latencies, and the places in line that they were spent in
 	places  float64
+	usual   float64 // recent latency over all classes
 	granted float64 // work admitted over all classes, smoothed like loop.asked
 	aim     float64 // usual aim, seconds
 	queue   float64 // sum over the ticks of this period of the wait to expect, as a share of the aim
@@ -352,44 +356,35 @@
 // admits tells whether a customer is within the admitted fraction; its hash is alike at all gateways.
 func (l *loop) admits(c *customer) bool { return c.hash < l.f }
 
-// hash maps a customer to [0,1), well mixed.
+// hash maps a customer to [0,1), alike at all gateways.
 func hash(id string) float64 {
-	h := uint64(14695981039346656037)
-	for i := range len(id) {
-		h = (h ^ uint64(id[i])) * 1099511628211
-	}
-	h = (h ^ h>>33) * 0xff51afd7ed558ccd
-	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
-	h ^= h >> 33
-	return float64(h>>11) / (1 << 53)
+	sum := sha256.Sum256([]byte(id))
+	return float64(binary.BigEndian.Uint64(sum[:])>>11) / (1 << 53)
 }
 
 // 3. Quota: each customer's plan, shared by its gateways through the counter.
 
 type customer struct {
-	id       string
-	hash     float64
-	plan     *Plan
-	spread   float64
-	whole    bool    // levels are of the whole store, as the counter tells; else of this gateway's split
-	level    float64 // quota store
-	ceiling  float64 // ceiling store
-	at       time.Duration
-	others   float64 // use at other gateways, units a second
-	guessed  float64 // of that, taken from the levels in this second without being seen
-	fresh    float64 // spent here and not added
-	adding   float64 // in a call under way
-	calling  bool
-	added    float64 // added here in this second
-	seen     float64 // seen of others in this second
-	answered time.Duration
-	next     time.Duration // no call before
-	backoff  time.Duration
-	queued   bool
-	open     int // attempts out
-	past     int // answers about past seconds awaited
-	pastUse  float64
-	used     time.Duration
+	id             string
+	hash           float64
+	plan           *Plan
+	spread         float64
+	whole          bool    // the levels are of the whole stores, as the counter tells; else of this gateway's split
+	level, ceiling float64 // of the quota and the ceiling, at the time at
+	at             time.Duration
+	others         float64 // use at other gateways, units a second
+	guessed        float64 // of that, taken from the levels in this second without being seen
+	seen, added    float64 // of the counter's total for this second: what others added, and this gateway
+	fresh, adding  float64 // spent here: not added yet, and in a call under way
+	queued         bool    // among those with units to add
+	calling        bool
+	called         int64         // the second named by the call under way
+	answered, next time.Duration // last answer; no call before next
+	backoff        time.Duration
+	past           int     // answers awaited about the seconds before it was known here
+	pastUse        float64 // and their sum
+	open           int     // attempts out
+	used           time.Duration
 }
 
 var noPlan = &Plan{Price: 1}
@@ -414,7 +409,7 @@
 		if c.plan.CeilingRate > 0 && g.set.Counter {
 			c.past = c.window()
 			for k := range c.past {
-				g.do(Count{Name: counterName(c.id, second(g.now)-int64(k)-1), TTL: c.ttl()})
+				g.call(c, second(g.now)-int64(k)-1, 0)
 			}
 		}
 	}
@@ -423,28 +418,22 @@
 	return c
 }
 
-// window is how many seconds fill an empty ceiling store.
+// window is how many seconds fill an empty store.
 func (c *customer) window() int {
-	return int(min(30, math.Ceil(c.plan.CeilingBurst/c.plan.CeilingRate)))
-}
-
-func (c *customer) ttl() time.Duration { return time.Duration(c.ttlSeconds()) * time.Second }
-
-func (c *customer) ttlSeconds() int {
-	if c.plan.CeilingRate > 0 {
-		return c.window() + 5
-	}
-	return 5
+	return int(min(30, math.Ceil(c.plan.CeilingBurst/max(c.plan.CeilingRate, 1e-3))))
 }
 
 func second(t time.Duration) int64 { return int64(t / time.Second) }
 
-func counterName(id string, s int64) string {
-	name := id + "." + strconv.FormatInt(s, 36)
-	if len(name) <= 64 {
-		return name
+// call adds to the number of a customer and second; an amount of 0 only reads.
+func (g *Gateway) call(c *customer, s int64, amount float64) {
+	name := c.id
+	if len(name) > 40 { // names are bounded
+		name = strconv.FormatUint(math.Float64bits(c.hash), 36)
 	}
-	return strconv.FormatFloat(hash(id), 'g', -1, 64) + "." + strconv.FormatInt(s, 36)
+	name += "." + strconv.FormatInt(s, 36)
+	g.calls[name] = c
+	g.do(Count{Name: name, Amount: amount, TTL: time.Duration(c.window()+nameSeconds) * time.Second})
 }
 
 // settle brings a customer's stores to now: they fill at their rates and are drawn on by other gateways at the
@@ -548,7 +537,8 @@
 		if calm && g.now < c.next+addAtLeast-addEvery {
 			continue
 		}
-		g.do(Count{Name: counterName(c.id, second(g.now)), Amount: c.fresh, TTL: c.ttl()})
+		c.called = second(g.now)
+		g.call(c, c.called, c.fresh)
 		c.calling, c.adding, c.fresh, c.next = true, c.fresh, 0, g.now+addEvery
 		c.added += c.adding
 	}
@@ -556,26 +546,16 @@
 }
 
 func (g *Gateway) counted(e Counted) {
-	i := lastDot(e.Name)
-	if i < 0 {
-		return
-	}
-	c := g.customers[e.Name[:i]]
+	c := g.calls[e.Name]
 	if c == nil {
 		return
 	}
-	s, err := strconv.ParseInt(e.Name[i+1:], 36, 64)
-	if err != nil {
-		return
-	}
+	delete(g.calls, e.Name)
 	g.settle(c)
-	if s < second(g.now) && c.past > 0 && !(c.calling && s == second(g.now)-1 && c.past == 0) {
+	if !c.calling || !strings.HasSuffix(e.Name, "."+strconv.FormatInt(c.called, 36)) {
 		g.pastCounted(c, e)
 		return
 	}
-	if !c.calling {
-		return
-	}
 	amount := c.adding
 	c.calling, c.adding = false, 0
 	if e.Outcome != OK || !(e.Total >= 0) {
@@ -589,14 +569,14 @@
 		return
 	}
 	c.backoff = 0
-	if s != second(g.now) {
+	if c.called != second(g.now) {
 		return // the second turned under way: the guess for it stands
 	}
 	if e.Total < c.added-c.fresh-1e-6 { // lost what was added: it came back empty
 		c.setWhole(false)
 		return
 	}
-	since := max(c.answered, time.Duration(s)*time.Second)
+	since := max(c.answered, time.Duration(c.called)*time.Second)
 	news := max(0, min(e.Total-c.added, c.plan.Rate+c.plan.Burst+float64(c.plan.Open)*10)-c.seen)
 	c.setWhole(true)
 	c.level = min(c.plan.Burst, max(0, c.level+c.guessed-news))
@@ -612,6 +592,9 @@
 // pastCounted takes a total of a second before this gateway knew the customer. With all of them, what remains of
 // the ceiling is known to be at least its burst less their sum.
 func (g *Gateway) pastCounted(c *customer, e Counted) {
+	if c.past == 0 {
+		return
+	}
 	c.past--
 	if e.Outcome != OK || !(e.Total >= 0) {
 		c.pastUse = math.Inf(1)
@@ -626,29 +609,16 @@
 	}
 }
 
-func lastDot(s string) int {
-	for i := len(s) - 1; i >= 0; i-- {
-		if s[i] == '.' {
-			return i
-		}
-	}
-	return -1
-}
-
 // sweep forgets customers long idle, a few at a time.
 func (g *Gateway) sweep() {
 	for range min(20, len(g.roll)) {
-		g.swept++
-		if g.swept >= len(g.roll) {
-			g.swept = 0
-		}
+		g.swept = (g.swept + 1) % len(g.roll)
 		c := g.roll[g.swept]
-		if g.now-c.used > customerTTL && c.open == 0 && !c.queued {
+		if g.now-c.used > customerTTL && c.open == 0 && !c.queued && c.past == 0 {
 			delete(g.customers, c.id)
 			last := len(g.roll) - 1
 			g.roll[g.swept] = g.roll[last]
-			g.roll = g.roll[:last]
-			if last == 0 {
+			if g.roll = g.roll[:last]; last == 0 {
 				return
 			}
 		}
@@ -659,25 +629,23 @@
 
 type server struct {
 	ServerEntry
-	known    time.Duration
-	open     int     // own attempts out
-	others   float64 // in flight from other gateways, by reports
-	load     float64 // last report, and when
-	reported time.Duration
-	counted  time.Duration // when others was reported
-	slowness float64       // latency in a place in line, relative to the fleet
-	waiting  time.Duration // since when an answer is due
-	fails    int           // in a row
-	failing  float64       // recent share
-	outUntil time.Duration
-	outs     int
-	trial    bool
-	coldAt   time.Duration
-	cold     bool
-	sent     float64 // attempts lately, decayed over OverloadTime
-	sentAt   time.Duration
-	done     float64 // attempts that ended lately
-	bad      float64 // of these, refused as full or slower than their aim
+	open      int     // own attempts out
+	others    float64 // in work for other gateways, as its report at counted told
+	counted   time.Duration
+	load      float64 // use of its processors, as its report at reported told
+	reported  time.Duration
+	slowness  float64       // latency in a place in line, relative to the fleet
+	waiting   time.Duration // since when an answer is due
+	fails     int           // in a row
+	failing   float64       // recent share
+	outUntil  time.Duration // ejected until then
+	outs      int           // ejections in a row
+	trial     bool          // back from one, and not yet heard well of
+	cold      bool
+	coldAt    time.Duration
+	sent      float64 // attempts lately, decayed over OverloadTime
+	sentAt    time.Duration
+	done, bad float64 // attempts that ended lately, and those refused as full or slower than their aim
 }
 
 func (s *server) isOut(now time.Duration) bool { return now < s.outUntil }
@@ -697,7 +665,7 @@
 	for _, n := range e.Entries {
 		s := g.servers[n.Server]
 		if s == nil {
-			s = &server{slowness: 1, known: g.now}
+			s = &server{slowness: 1}
 			g.servers[n.Server] = s
 		}
 		if n.Started > s.Started && n.Started > 0 && n.Started+g.set.ColdTime > g.now {
@@ -739,16 +707,7 @@
 
 // suspect tells that a server leaves attempts unanswered for much longer than usual: hung, stalled or vanished.
 func (g *Gateway) suspect(s *server) bool {
-	return s.open > 0 && (g.now-s.waiting).Seconds() > stallTimes*g.usual()*max(1, s.slowness)
-}
-
-// usual is the mean latency over the classes.
-func (g *Gateway) usual() float64 {
-	sum := 0.0
-	for _, l := range g.latency {
-		sum += l.mean
-	}
-	return sum / float64(len(g.latency))
+	return s.open > 0 && (g.now-s.waiting).Seconds() > stallTimes*g.sensor.usual*max(1, s.slowness)
 }
 
 // choose picks a server for the next attempt of r, or nil.
@@ -877,18 +836,16 @@
 }
 
 type request struct {
-	id        RequestID
-	class     ClassID
-	customer  *customer
-	units     float64
-	arrived   time.Duration
-	deadline  time.Duration
-	attempts  []attempt
-	ran       bool // some attempt may have run
-	ranAt     *server
-	ranSent   time.Duration // when the first that may have run was sent
-	ended     bool
-	streaming bool
+	id                RequestID
+	class             ClassID
+	customer          *customer
+	units             float64
+	arrived, deadline time.Duration
+	attempts          []attempt
+	ran               bool // some attempt may have run; the first of them where and when:
+	ranAt             *server
+	ranSent           time.Duration
+	ended, streaming  bool
 }
 
 func (r *request) tried(s *server) bool {
@@ -1028,6 +985,7 @@
 func (g *Gateway) learn(s *server, a *attempt, took float64) {
 	m := &g.sensor
 	s.slowness += (min(10, took*m.places/(m.took*a.place)) - s.slowness) * 2 * smoothing
+	m.usual += (took - m.usual) * smoothing
 	m.took += (took - m.took) * smoothing / 2
 	m.places += (a.place - m.places) * smoothing / 2
 }
