--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,7 +4,6 @@
 package choice
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
@@ -24,8 +23,9 @@
 	margin      = 30.0                   // G, gain margin of the loops
 	offeredOver = 2 * time.Second        // smoothing of the work asked for and granted
 	leastAdmit  = 0.01                   // least f: a trickle that keeps the sensor alive
-	worstPart   = 0.25                   // share of servers whose outcomes are left out of it
-	forget      = 0.8                    // weight that outcomes keep for the next period
+	worstPart   = 0.25                   // share of servers, the slowest, that do not tell of overload
+	badWeight   = 0.5                    // U for each share of bad attempts
+	forget      = 0.7                    // weight that outcomes keep for the next period
 	justBelow   = 0.95                   // set point, as a share of the load where servers refuse
 	linger      = time.Second            // how fast what others have in work is forgotten without news
 	mostOver    = 1.3                    // U is read up to this: a jam is not more urgent for being long
@@ -42,8 +42,10 @@
 	addBackoff  = 2 * time.Second        // longest wait after failed adds
 	othersLag   = time.Second            // smoothing of the use seen from other gateways
 	otherZone   = 1.05                   // factor on the expected wait in another zone
+	triedBefore = 100.0                  // the same at a server that the request has tried
 	choices     = 3                      // servers compared for one attempt
 	failsToOut  = 3                      // failures in a row that eject a server
+	failWeight  = 0.1                    // weight of a new outcome in a server's share of failures
 	failShare   = 0.5                    // or this share of its recent attempts
 	outFirst    = 2 * time.Second        // first ejection; doubles up to outMost
 	outMost     = 16 * time.Second       // long enough to cost little, short enough to come back
@@ -88,46 +90,43 @@
 		return nil, nil, fmt.Errorf("%w: no classes", errSettings)
 	}
 	for i, c := range set.Classes {
-		if c.Aim < 0 || c.Deadline < 0 || c.KeyTTL < 0 || !(c.Worth >= 0) {
+		if anyBad(c.Worth, c.LateShare, float64(c.Aim), float64(c.Deadline), float64(c.KeyTTL)) {
 			return nil, nil, fmt.Errorf("%w: class %d: a negative figure", errSettings, i)
 		}
 	}
 	for i, p := range set.Plans {
-		for _, x := range []float64{p.Rate, p.Burst, p.Price, p.CeilingRate, p.CeilingBurst, p.CeilingSlack, float64(p.Open)} {
-			if !(x >= 0) || math.IsInf(x, 0) {
-				return nil, nil, fmt.Errorf("%w: plan %d: a negative figure", errSettings, i)
-			}
+		if anyBad(p.Rate, p.Burst, p.Price, p.CeilingRate, p.CeilingBurst, p.CeilingSlack, float64(p.Open)) {
+			return nil, nil, fmt.Errorf("%w: plan %d: a negative figure", errSettings, i)
 		}
 	}
 	if !(set.ColdShare > 0) || set.ColdShare > 1 {
 		set.ColdShare = 1 // no cold start is described
 	}
 	set.MaxAttempts, set.Gateways = max(1, set.MaxAttempts), max(1, set.Gateways)
-	g := &Gateway{
-		set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, budget: retryBurst,
-		customers: map[string]*customer{}, calls: map[string]*customer{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
-	}
-	g.sensor = sensor{knee: kneeMost, sampled: now, places: 1}
+	set.Plans = append(slices.Clone(set.Plans), Plan{Price: 1}) // for plans that were not described
+	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: now, budget: retryBurst,
+		customers: map[string]*customer{}, calls: map[string]*customer{}, servers: map[ServerID]*server{},
+		requests: map[RequestID]*request{}, sensor: sensor{knee: kneeMost, sampled: now, places: 1}}
 	for _, c := range set.Classes {
-		g.sensor.aim += c.Aim.Seconds() / float64(len(set.Classes))
+		g.sensor.aim += max(c.Aim, tick).Seconds() / float64(len(set.Classes))
+		g.latency = append(g.latency, latency{mean: c.Aim.Seconds() / 6, dev: c.Aim.Seconds() / 12})
 	}
 	g.sensor.took, g.sensor.usual = g.sensor.aim/8, g.sensor.aim/6
 	g.rankClasses()
-	for _, c := range set.Classes {
-		g.latency = append(g.latency, latency{mean: c.Aim.Seconds() / 6, dev: c.Aim.Seconds() / 12})
-	}
 	if set.Subscribe {
 		g.do(Subscribe{})
 	}
 	g.do(SetTimer{At: now + tick, Timer: Timer{Kind: TickTimer}})
-	first := g.out
-	g.out = nil
-	return g, first, nil
+	return g, g.out, nil
+}
+
+func anyBad(xs ...float64) bool {
+	return slices.ContainsFunc(xs, func(x float64) bool { return !(x >= 0) || math.IsInf(x, 0) })
 }
 
 // Handle takes in an event and returns what to do now. Events that name what is unknown or over are ignored.
 func (g *Gateway) Handle(e Event, now time.Duration) []Action {
-	g.now = max(g.now, now)
+	g.now, g.out = max(g.now, now), nil
 	switch e := e.(type) {
 	case Arrived:
 		g.arrived(e)
@@ -157,9 +156,7 @@
 			g.deadline(e.Timer.Request)
 		}
 	}
-	out := g.out
-	g.out = nil
-	return out
+	return g.out
 }
 
 func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
@@ -186,6 +183,8 @@
 	aim     float64 // usual aim, seconds
 	queue   float64 // sum over the ticks of this period of the wait to expect, as a share of the aim
 	ticks   float64
+	done    float64 // attempts that ended lately at servers in good standing
+	bad     float64 // of these, refused as full, timed out or slower than their aim
 }
 
 // report keeps a server's load. Figures that no server can have are not taken.
@@ -242,13 +241,13 @@
 // they report, as a share of its knee, and of the line seen at them.
 func (g *Gateway) estimate() float64 {
 	s := &g.sensor
-	bad := g.badShare()
 	queue := s.queue / max(1, s.ticks) / slowest
 	s.queue, s.ticks = 0, 0
-	u := max(queue, 0.5*bad)
+	u := max(queue, badWeight*s.bad/(s.done+1))
+	s.done, s.bad = s.done*forget, s.bad*forget
 	sum, n := 0.0, 0.0
 	for _, v := range g.list {
-		if v.reported > 0 && g.now-v.reported < reportLife && !v.isOut(g.now) {
+		if v.reported > 0 && g.now-v.reported < reportLife && g.now >= v.outUntil {
 			sum, n = sum+v.load, n+1
 		}
 	}
@@ -265,58 +264,30 @@
 	return max(u, mean/s.knee)
 }
 
-// badShare is the share of attempts lately refused as full or slower than their aim. The worst servers are left
-// out: what a few of them do is their own trouble, overload shows on all.
-func (g *Gateway) badShare() float64 {
-	by := slices.Clone(g.list)
-	slices.SortStableFunc(by, func(a, b *server) int { return cmp.Compare(a.bad/(a.done+1), b.bad/(b.done+1)) })
-	done, bad := 0.0, 0.0
-	for i, s := range by {
-		if float64(i) < float64(len(by))*(1-worstPart) {
-			done, bad = done+s.done, bad+s.bad
-		}
-		s.done, s.bad = s.done*forget, s.bad*forget
-	}
-	if done < 1 {
-		return 0
-	}
-	return bad / (done + 1)
-}
-
 // 2. Loops: the fraction of customers admitted, by priority class.
 
 type loop struct {
-	worth float64
 	f     float64
 	err   float64 // last control error
 	work  float64 // admitted in this period, in seconds of service
 	asked float64 // asked for, smoothed over offeredOver
 }
 
-// rankClasses gives each worth that a class under a plan can have its loop.
+// rankClasses gives each worth that a class under a plan can have its loop, and use beyond soft quotas the last.
 func (g *Gateway) rankClasses() {
 	var worths []float64
-	worth := func(c, p int) float64 {
-		if p == len(g.set.Plans) {
-			return g.set.Classes[c].Worth // a plan that was not described
+	for _, c := range g.set.Classes {
+		for _, p := range g.set.Plans {
+			worths = append(worths, -c.Worth*p.Price)
 		}
-		return g.set.Classes[c].Worth * g.set.Plans[p].Price
 	}
-	for c := range g.set.Classes {
-		for p := range len(g.set.Plans) + 1 {
-			worths = append(worths, worth(c, p))
-		}
-	}
-	slices.SortFunc(worths, func(a, b float64) int { return cmp.Compare(b, a) })
+	slices.Sort(worths)
 	worths = slices.Compact(worths)
-	for _, w := range worths {
-		g.loops = append(g.loops, loop{worth: w, f: 1})
-	}
-	g.loops = append(g.loops, loop{f: 1})
-	for c := range g.set.Classes {
-		row := make([]int, len(g.set.Plans)+1)
-		for p := range row {
-			row[p] = slices.Index(worths, worth(c, p))
+	g.loops = slices.Repeat([]loop{{f: 1}}, len(worths)+1)
+	for _, c := range g.set.Classes {
+		var row []int
+		for _, p := range g.set.Plans {
+			row = append(row, slices.Index(worths, -c.Worth*p.Price))
 		}
 		g.rank = append(g.rank, row)
 	}
@@ -353,9 +324,6 @@
 	}
 }
 
-// admits tells whether a customer is within the admitted fraction; its hash is alike at all gateways.
-func (l *loop) admits(c *customer) bool { return c.hash < l.f }
-
 // hash maps a customer to [0,1), alike at all gateways.
 func hash(id string) float64 {
 	sum := sha256.Sum256([]byte(id))
@@ -387,13 +355,12 @@
 	used           time.Duration
 }
 
-var noPlan = &Plan{Price: 1}
-
-func (g *Gateway) plan(p PlanID) *Plan {
+// planIndex is the plan of a request; one that was not described has no limits.
+func (g *Gateway) planIndex(p PlanID) int {
 	if p < 0 || int(p) >= len(g.set.Plans) {
-		return noPlan
+		return len(g.set.Plans) - 1
 	}
-	return &g.set.Plans[p]
+	return int(p)
 }
 
 // customer finds or makes the record. A new one, which may have spent elsewhere, gets the split of its burst, and
@@ -401,7 +368,7 @@
 func (g *Gateway) customer(e Arrived) *customer {
 	c := g.customers[e.Customer]
 	if c == nil {
-		c = &customer{id: e.Customer, hash: hash(e.Customer), plan: g.plan(e.Plan), at: g.now}
+		c = &customer{id: e.Customer, hash: hash(e.Customer), plan: &g.set.Plans[g.planIndex(e.Plan)], at: g.now}
 		c.spread = float64(min(max(1, e.Spread), g.set.Gateways))
 		c.level, c.ceiling = c.plan.Burst/c.spread, c.plan.CeilingSlack/c.spread
 		g.customers[e.Customer] = c
@@ -629,27 +596,24 @@
 
 type server struct {
 	ServerEntry
-	open      int     // own attempts out
-	others    float64 // in work for other gateways, as its report at counted told
-	counted   time.Duration
-	load      float64 // use of its processors, as its report at reported told
-	reported  time.Duration
-	slowness  float64       // latency in a place in line, relative to the fleet
-	waiting   time.Duration // since when an answer is due
-	fails     int           // in a row
-	failing   float64       // recent share
-	outUntil  time.Duration // ejected until then
-	outs      int           // ejections in a row
-	trial     bool          // back from one, and not yet heard well of
-	cold      bool
-	coldAt    time.Duration
-	sent      float64 // attempts lately, decayed over OverloadTime
-	sentAt    time.Duration
-	done, bad float64 // attempts that ended lately, and those refused as full or slower than their aim
+	open     int     // own attempts out
+	others   float64 // in work for other gateways, as its report at counted told
+	counted  time.Duration
+	load     float64 // use of its processors, as its report at reported told
+	reported time.Duration
+	slowness float64       // latency in a place in line, relative to the fleet
+	waiting  time.Duration // since when an answer is due
+	fails    int           // in a row
+	failing  float64       // recent share
+	outUntil time.Duration // ejected until then
+	outs     int           // ejections in a row
+	trial    bool          // back from one, and not yet heard well of
+	cold     bool
+	coldAt   time.Duration
+	sent     float64 // attempts lately, decayed over OverloadTime
+	sentAt   time.Duration
 }
 
-func (s *server) isOut(now time.Duration) bool { return now < s.outUntil }
-
 func (g *Gateway) serversChanged(e ServersChanged) {
 	if e.Failed {
 		if g.set.Subscribe {
@@ -710,7 +674,8 @@
 	return s.open > 0 && (g.now-s.waiting).Seconds() > stallTimes*g.sensor.usual*max(1, s.slowness)
 }
 
-// choose picks a server for the next attempt of r, or nil.
+// choose picks a server for the next attempt of r, or nil: the one with the least wait of a few. Suspected and
+// ejected ones, and unsafe requests at one on trial, wait for better times unless hardly any other is left.
 func (g *Gateway) choose(r *request) *server {
 	class := g.set.Classes[r.class]
 	var pool, doubtful []*server
@@ -718,23 +683,17 @@
 	for _, s := range g.list {
 		total, warm = total+g.sentLately(s), warm+g.warmth(s)
 	}
-	out := 0
 	for _, s := range g.list {
-		if !g.inScope(r, class, s) {
-			continue
-		}
-		if w := g.warmth(s); w < 1 && s.sent+1 > 1+coldSpread*w*total/max(warm, 1) {
-			continue
-		}
+		w := g.warmth(s)
 		switch {
-		case s.isOut(g.now) || g.suspect(s) || (s.trial && (s.open > 0 || class.Repeat == Unsafe)):
-			out++
+		case !inScope(r, class, s) || w < 1 && s.sent > coldSpread*w*total/warm:
+		case g.now < s.outUntil || g.suspect(s) || s.trial && (s.open > 0 || class.Repeat == Unsafe):
 			doubtful = append(doubtful, s)
 		default:
 			pool = append(pool, s)
 		}
 	}
-	if len(pool) == 0 || float64(out) > mostOut*float64(len(g.list)) && len(pool) < 2 {
+	if len(pool) == 0 || len(pool) < 2 && len(g.list) > 3 {
 		pool = append(pool, doubtful...)
 	}
 	var best *server
@@ -743,9 +702,12 @@
 		j := i + g.rng.IntN(len(pool)-i)
 		pool[i], pool[j] = pool[j], pool[i]
 		s := pool[i]
-		wait := g.wait(s)
-		if r.tried(s) {
-			wait += 1000
+		wait := g.expect(s)
+		if s.Zone != g.set.Zone {
+			wait *= otherZone
+		}
+		if slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s }) {
+			wait *= triedBefore
 		}
 		if wait < bestWait {
 			best, bestWait = s, wait
@@ -754,69 +716,42 @@
 	return best
 }
 
-// wait ranks servers by the latency to expect there; one in another zone must be clearly better.
-func (g *Gateway) wait(s *server) float64 {
-	w := g.expect(s)
-	if s.Zone != g.set.Zone {
-		w *= otherZone
-	}
-	return w
-}
-
 // inScope tells whether a server discards repeats of what r may have run already.
-func (g *Gateway) inScope(r *request, class Class, s *server) bool {
-	if class.Repeat != Keyed || class.Scope == ScopeAll || r.ranAt == nil {
-		return true
-	}
-	if class.Scope == ScopeZone {
-		return s.Zone == r.ranAt.Zone
-	}
-	return s.Cell == r.ranAt.Cell
+func inScope(r *request, class Class, s *server) bool {
+	return class.Repeat != Keyed || r.ranAt == nil || class.Scope == ScopeAll ||
+		class.Scope == ScopeZone && s.Zone == r.ranAt.Zone || class.Scope == ScopeCell && s.Cell == r.ranAt.Cell
 }
 
-// judge takes an attempt's end into the health of its server.
+// judge takes an attempt's end into the health of its server. One that fails much more than the others is left
+// alone for a while and then tried with one attempt. When many fail alike the trouble is shared: none is ejected.
 func (g *Gateway) judge(s *server, o Outcome) {
-	bad := 0.0
 	switch o {
 	case OK:
-		s.fails, s.outs = 0, max(0, s.outs)
+		s.fails = 0
+		s.failing -= s.failing * failWeight
 		if s.trial {
 			s.trial, s.outs, s.failing = false, 0, 0
 		}
+		return
 	case Error, TimedOut, ConnectFailed, Reset:
 		s.fails++
-		bad = 1
+		s.failing += (1 - s.failing) * failWeight
 	default:
 		return
 	}
-	s.failing += (bad - s.failing) * 0.1
-	if bad == 0 || s.isOut(g.now) {
-		return
-	}
-	fleet := 0.0
-	for _, v := range g.list {
-		fleet += v.failing / float64(len(g.list))
-	}
-	if s.trial || (s.fails >= failsToOut || s.failing > failShare) && s.failing > 2*fleet {
-		g.eject(s)
-	}
-}
-
-// eject leaves a server alone for a while, unless so many are out already that the trouble must be shared.
-func (g *Gateway) eject(s *server) {
-	out := 1.0
+	fleet, out, n := 0.0, 1.0, float64(len(g.list))
 	for _, v := range g.list {
-		if v != s && v.isOut(g.now) {
+		fleet += v.failing / n
+		if v != s && g.now < v.outUntil {
 			out++
 		}
 	}
-	if out > mostOut*float64(len(g.list)) {
-		s.fails, s.failing = 0, 0
-		return
+	bad := s.trial || (s.fails >= failsToOut || s.failing > failShare) && s.failing > 2*fleet
+	if bad && g.now >= s.outUntil && out <= mostOut*n {
+		s.outUntil = g.now + min(outMost, outFirst<<min(s.outs, 4))
+		s.outs++
+		s.trial, s.fails = true, 0
 	}
-	s.outUntil = g.now + min(outMost, outFirst<<min(s.outs, 4))
-	s.outs++
-	s.trial, s.fails = true, 0
 }
 
 // 5. Attempts and answers.
@@ -848,16 +783,11 @@
 	ended, streaming  bool
 }
 
-func (r *request) tried(s *server) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
-}
-
 type answer int
 
 const (
-	answerNone answer = iota // the client has it, or is gone
-	answerRefuse
-	answerFail
+	answerNone   answer = iota // the client has it, or is gone
+	answerRefuse               // or a failure, where a refusal would promise too much
 )
 
 func (g *Gateway) arrived(e Arrived) {
@@ -876,11 +806,7 @@
 	r := &request{id: e.Request, class: e.Class, customer: c, units: units, arrived: g.now,
 		deadline: g.now + max(0, e.Left)}
 	g.requests[r.id] = r
-	p := int(e.Plan)
-	if p < 0 || p >= len(g.set.Plans) {
-		p = len(g.set.Plans)
-	}
-	l := &g.loops[g.rank[e.Class][p]]
+	l := &g.loops[g.rank[e.Class][g.planIndex(e.Plan)]]
 	if !g.within(c, units, e.Class) {
 		if c.plan.OverWorth <= c.plan.OverCost {
 			g.end(r, answerRefuse)
@@ -889,7 +815,7 @@
 		l = &g.loops[len(g.loops)-1]
 	}
 	l.asked += g.latency[r.class].mean
-	if !l.admits(c) || !c.underCeiling(units) {
+	if c.hash >= l.f || !c.underCeiling(units) {
 		g.end(r, answerRefuse)
 		return
 	}
@@ -942,11 +868,8 @@
 		return
 	}
 	a := &r.attempts[e.Attempt]
-	a.open = false
-	r.customer.open--
 	s := a.server
-	s.open--
-	s.waiting = g.now
+	g.close(r, e.Attempt)
 	g.report(s, e.Load)
 	class := g.set.Classes[r.class]
 	took := (g.now - a.sent).Seconds()
@@ -960,9 +883,9 @@
 	}
 	g.judge(s, e.Outcome)
 	if e.Outcome != Void && e.Outcome != Cancelled {
-		s.done++
-		if e.Outcome == Full || e.Outcome == TimedOut || took > class.Aim.Seconds() {
-			s.bad++
+		g.sensor.done++
+		if (e.Outcome == Full || e.Outcome == TimedOut || took > class.Aim.Seconds()) && g.now >= s.outUntil {
+			g.sensor.bad++
 		}
 	}
 	if !r.ran && e.Outcome != Full && e.Outcome != ConnectFailed && e.Outcome != Void {
@@ -1019,14 +942,11 @@
 			}
 		}
 	}
-	ran := r.ran || out
-	if ran && (class.Repeat == Unsafe || class.Repeat == Keyed && class.Scope != ScopeAll) && a == answerRefuse {
-		a = answerFail
-	}
-	switch a {
-	case answerRefuse:
+	promise := class.Repeat == Safe || !r.ran && !out || class.Repeat == Keyed && class.Scope == ScopeAll
+	switch {
+	case a == answerRefuse && promise:
 		g.do(Refuse{Request: r.id})
-	case answerFail:
+	case a == answerRefuse:
 		g.do(Fail{Request: r.id})
 	}
 	g.drop(r)
@@ -1047,20 +967,23 @@
 	}
 	if !r.ended && !r.streaming {
 		g.end(r, answerRefuse)
+	} else if r.ended && g.now >= r.deadline+leftover {
+		for i := range r.attempts {
+			g.close(r, i)
+		}
+		g.drop(r)
 	}
-	if g.requests[id] == nil {
-		return
-	}
-	if g.now < r.deadline+leftover || !r.ended {
+	if g.requests[id] != nil {
 		g.do(SetTimer{At: g.now + leftover, Timer: Timer{Kind: DeadlineTimer, Request: id}})
-		return
 	}
-	for i := range r.attempts {
-		if a := &r.attempts[i]; a.open {
-			a.open = false
-			a.server.open--
-			r.customer.open--
-		}
+}
+
+// close marks an attempt as over.
+func (g *Gateway) close(r *request, i int) {
+	if a := &r.attempts[i]; a.open {
+		a.open = false
+		a.server.open--
+		a.server.waiting = g.now
+		r.customer.open--
 	}
-	g.drop(r)
 }
