--- a/choice/choice.go
+++ b/choice/choice.go
@@ -12,7 +12,6 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -56,7 +55,7 @@
 	retryBurst  = 20.0                   // further attempts at once
 	patience    = 8.0                    // deviations above the mean latency that an attempt may take
 	smoothing   = 0.05                   // weight of a new latency
-	nameSeconds = 5                      // life of a counter name beyond the seconds it may be read for
+	nameLife    = 3 * time.Second        // life of a counter name: its second and a slow call
 	customerTTL = 60 * time.Second       // a customer idle for this long is forgotten
 	leftover    = 30 * time.Second       // an attempt whose outcome never comes is forgotten this long after its end
 )
@@ -349,9 +348,7 @@
 	called         int64         // the second named by the call under way
 	answered, next time.Duration // last answer; no call before next
 	backoff        time.Duration
-	past           int     // answers awaited about the seconds before it was known here
-	pastUse        float64 // and their sum
-	open           int     // attempts out
+	open           int // attempts out
 	used           time.Duration
 }
 
@@ -364,7 +361,7 @@
 }
 
 // customer finds or makes the record. A new one, which may have spent elsewhere, gets the split of its burst, and
-// of a ceiling no more than the slack until the counter has told what the past seconds took.
+// of a ceiling no more than the slack and what has filled since: it may have been drawn on until a moment ago.
 func (g *Gateway) customer(e Arrived) *customer {
 	c := g.customers[e.Customer]
 	if c == nil {
@@ -373,48 +370,36 @@
 		c.level, c.ceiling = c.plan.Burst/c.spread, c.plan.CeilingSlack/c.spread
 		g.customers[e.Customer] = c
 		g.roll = append(g.roll, c)
-		if c.plan.CeilingRate > 0 && g.set.Counter {
-			c.past = c.window()
-			for k := range c.past {
-				g.call(c, second(g.now)-int64(k)-1, 0)
-			}
-		}
 	}
 	c.used = g.now
 	g.settle(c)
 	return c
 }
 
-// window is how many seconds fill an empty store.
-func (c *customer) window() int {
-	return int(min(30, math.Ceil(c.plan.CeilingBurst/max(c.plan.CeilingRate, 1e-3))))
-}
-
 func second(t time.Duration) int64 { return int64(t / time.Second) }
 
-// call adds to the number of a customer and second; an amount of 0 only reads.
-func (g *Gateway) call(c *customer, s int64, amount float64) {
+// call adds to the number of a customer and second.
+func (g *Gateway) call(c *customer) {
 	name := c.id
 	if len(name) > 40 { // names are bounded
 		name = strconv.FormatUint(math.Float64bits(c.hash), 36)
 	}
-	name += "." + strconv.FormatInt(s, 36)
+	c.called = second(g.now)
+	name += "." + strconv.FormatInt(c.called, 36)
 	g.calls[name] = c
-	g.do(Count{Name: name, Amount: amount, TTL: time.Duration(c.window()+nameSeconds) * time.Second})
+	g.do(Count{Name: name, Amount: c.fresh, TTL: nameLife})
+	c.calling, c.adding, c.fresh, c.next = true, c.fresh, 0, g.now+addEvery
+	c.added += c.adding
 }
 
 // settle brings a customer's stores to now: they fill at their rates and are drawn on by other gateways at the
 // rate last seen. A guess about a second that has passed stays, as its last adds were never seen.
 func (g *Gateway) settle(c *customer) {
-	dt := (g.now - c.at).Seconds()
-	share := 1.0
-	taken := 0.0
+	dt, p := (g.now - c.at).Seconds(), c.plan
+	share, taken := 1/c.spread, 0.0
 	if c.whole {
-		taken = c.others * dt
-	} else {
-		share = 1 / c.spread
+		share, taken = 1, c.others*dt
 	}
-	p := c.plan
 	c.level = min(p.Burst*share, max(0, c.level+p.Rate*share*dt-taken))
 	c.ceiling = min(p.CeilingBurst*share, c.ceiling+p.CeilingRate*share*dt-taken)
 	if second(g.now) != second(c.at) {
@@ -426,19 +411,17 @@
 	c.at = g.now
 }
 
-// setWhole changes between the whole store and this gateway's split of it.
+// setWhole changes between the whole stores and this gateway's split of them.
 func (c *customer) setWhole(whole bool) {
-	if c.whole == whole {
-		return
-	}
 	factor := c.spread
 	if !whole {
 		factor = 1 / factor
 	}
-	c.whole = whole
-	c.level *= factor
-	c.ceiling *= factor
-	c.guessed = 0
+	if c.whole != whole {
+		c.whole, c.guessed = whole, 0
+		c.level *= factor
+		c.ceiling *= factor
+	}
 }
 
 // within tells whether a try is inside the quota, as far as this gateway can know.
@@ -460,14 +443,11 @@
 // underCeiling tells whether a first attempt keeps the hard limit whatever the other gateways do meanwhile: what
 // is not yet added stays within this gateway's split of what remains.
 func (c *customer) underCeiling(units float64) bool {
-	if c.plan.CeilingRate == 0 {
-		return true
-	}
-	if !c.whole {
-		return c.ceiling >= units
+	if c.whole {
+		unadded := c.fresh + c.adding
+		return c.plan.CeilingRate == 0 || unadded+units <= (c.ceiling+unadded)/c.spread
 	}
-	unadded := c.fresh + c.adding
-	return unadded+units <= (c.ceiling+unadded)/c.spread
+	return c.plan.CeilingRate == 0 || units <= c.ceiling
 }
 
 // spend books the units of a first attempt.
@@ -496,18 +476,14 @@
 			continue
 		}
 		keep = append(keep, c)
-		if c.calling || g.now < c.next {
-			continue
-		}
 		g.settle(c)
-		calm := c.plan.Rate > 0 && c.plan.CeilingRate == 0 && c.fresh*c.spread < addCalm*c.level
-		if calm && g.now < c.next+addAtLeast-addEvery {
-			continue
+		next := c.next
+		if c.plan.Rate > 0 && c.plan.CeilingRate == 0 && c.fresh*c.spread < addCalm*c.level {
+			next += addAtLeast - addEvery
+		}
+		if !c.calling && g.now >= next {
+			g.call(c)
 		}
-		c.called = second(g.now)
-		g.call(c, c.called, c.fresh)
-		c.calling, c.adding, c.fresh, c.next = true, c.fresh, 0, g.now+addEvery
-		c.added += c.adding
 	}
 	g.due = keep
 }
@@ -519,10 +495,6 @@
 	}
 	delete(g.calls, e.Name)
 	g.settle(c)
-	if !c.calling || !strings.HasSuffix(e.Name, "."+strconv.FormatInt(c.called, 36)) {
-		g.pastCounted(c, e)
-		return
-	}
 	amount := c.adding
 	c.calling, c.adding = false, 0
 	if e.Outcome != OK || !(e.Total >= 0) {
@@ -556,32 +528,12 @@
 	c.answered = g.now
 }
 
-// pastCounted takes a total of a second before this gateway knew the customer. With all of them, what remains of
-// the ceiling is known to be at least its burst less their sum.
-func (g *Gateway) pastCounted(c *customer, e Counted) {
-	if c.past == 0 {
-		return
-	}
-	c.past--
-	if e.Outcome != OK || !(e.Total >= 0) {
-		c.pastUse = math.Inf(1)
-	}
-	c.pastUse += e.Total
-	if c.past == 0 && !math.IsInf(c.pastUse, 1) {
-		share := 1.0
-		if !c.whole {
-			share = 1 / c.spread
-		}
-		c.ceiling = max(c.ceiling, (c.plan.CeilingBurst-c.pastUse)*share-c.fresh-c.adding)
-	}
-}
-
 // sweep forgets customers long idle, a few at a time.
 func (g *Gateway) sweep() {
 	for range min(20, len(g.roll)) {
 		g.swept = (g.swept + 1) % len(g.roll)
 		c := g.roll[g.swept]
-		if g.now-c.used > customerTTL && c.open == 0 && !c.queued && c.past == 0 {
+		if g.now-c.used > customerTTL && c.open == 0 && !c.queued {
 			delete(g.customers, c.id)
 			last := len(g.roll) - 1
 			g.roll[g.swept] = g.roll[last]
@@ -758,11 +710,6 @@
 
 type latency struct{ mean, dev float64 }
 
-func (l *latency) add(x float64) {
-	l.dev += (math.Abs(x-l.mean) - l.dev) * smoothing
-	l.mean += (x - l.mean) * smoothing
-}
-
 type attempt struct {
 	server *server
 	sent   time.Duration
@@ -873,14 +820,13 @@
 	g.report(s, e.Load)
 	class := g.set.Classes[r.class]
 	took := (g.now - a.sent).Seconds()
-	l := &g.latency[r.class]
-	switch e.Outcome {
-	case OK:
-		g.learn(s, a, took)
-		l.add(took)
-	case TimedOut:
+	if e.Outcome == OK || e.Outcome == TimedOut {
 		g.learn(s, a, took)
 	}
+	if l := &g.latency[r.class]; e.Outcome == OK {
+		l.dev += (math.Abs(took-l.mean) - l.dev) * smoothing
+		l.mean += (took - l.mean) * smoothing
+	}
 	g.judge(s, e.Outcome)
 	if e.Outcome != Void && e.Outcome != Cancelled {
 		g.sensor.done++
@@ -985,5 +931,8 @@
 		a.server.open--
 		a.server.waiting = g.now
 		r.customer.open--
+		if s := a.server; s.State == Gone && s.open == 0 {
+			delete(g.servers, s.Server)
+		}
 	}
 }
