Quota: use seen at other gateways fades to the even split once news is overdue

Cause: a gateway that refused all of a customer added nothing, heard nothing and believed a past spike of its peers for ever (test: others use the same).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -393,7 +393,8 @@
 }
 
 // settle brings a customer's stores to now: they fill at their rates and are drawn on by other gateways at the
-// rate last seen. A guess about a second that has passed stays, as its last adds were never seen.
+// rate last seen. A guess about a second that has passed stays, as its last adds were never seen. A rate above an even
+// split fades to that: a gateway refusing everything adds nothing, so hears nothing, and must not believe it for ever.
 func (g *Gateway) settle(c *customer) {
 	dt, p := (g.now - c.at).Seconds(), c.plan
 	share, taken := 1/c.spread, 0.0
@@ -404,10 +405,12 @@
 	c.ceiling = min(p.CeilingBurst*share, c.ceiling+p.CeilingRate*share*dt-taken)
 	if second(g.now) != second(c.at) {
 		c.guessed, c.added, c.seen = 0, 0, 0
-		c.others *= math.Pow(0.5, float64(second(g.now)-second(c.at)-1)) // no news for whole seconds
 	} else {
 		c.guessed += taken
 	}
+	if even := p.Rate * (1 - 1/c.spread); c.others > even && g.now-c.answered > 2*addEvery {
+		c.others += (even - c.others) * (1 - math.Exp(-dt/othersLag.Seconds()))
+	}
 	c.at = g.now
 }
 
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,504 @@
+package choice_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"sandyard/choice"
+)
+
+// bench drives one gateway by hand: it keeps the time, fires timers and remembers what was done.
+type bench struct {
+	t      *testing.T
+	g      *choice.Gateway
+	now    time.Duration
+	timers []choice.SetTimer
+	did    []choice.Action
+	next   choice.RequestID
+	tries  map[choice.RequestID]int
+}
+
+func start(t *testing.T, set choice.Settings, at time.Duration, servers ...choice.ServerEntry) *bench {
+	t.Helper()
+	g, first, err := choice.New(set, 1, at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, g: g, now: at, next: 1, tries: map[choice.RequestID]int{}}
+	b.take(first)
+	b.tell(choice.ServersChanged{Full: true, Cached: true, Entries: servers})
+	return b
+}
+
+func (b *bench) take(actions []choice.Action) []choice.Action {
+	for _, a := range actions {
+		if t, ok := a.(choice.SetTimer); ok {
+			b.timers = append(b.timers, t)
+		}
+	}
+	b.did = append(b.did, actions...)
+	return actions
+}
+
+func (b *bench) tell(e choice.Event) []choice.Action { return b.take(b.g.Handle(e, b.now)) }
+
+// until lets time pass, firing timers in order.
+func (b *bench) until(at time.Duration) {
+	for {
+		first := -1
+		for i, t := range b.timers {
+			if t.At <= at && (first < 0 || t.At < b.timers[first].At) {
+				first = i
+			}
+		}
+		if first < 0 {
+			b.now = at
+			return
+		}
+		t := b.timers[first]
+		b.timers = append(b.timers[:first], b.timers[first+1:]...)
+		b.now = max(b.now, t.At)
+		b.tell(choice.TimerFired{Timer: t.Timer})
+	}
+}
+
+func (b *bench) wait(d time.Duration) { b.until(b.now + d) }
+
+// ask brings a request and returns its id and the server it was sent to; sent is false if it was refused.
+func (b *bench) ask(customer string, class choice.ClassID, spread int) (id choice.RequestID, s choice.ServerID, sent bool) {
+	id = b.next
+	b.next++
+	for _, a := range b.tell(choice.Arrived{Request: id, Class: class, Customer: customer, Left: 2 * time.Second,
+		Units: 1, Spread: spread}) {
+		if a, ok := a.(choice.Send); ok {
+			return id, a.Server, true
+		}
+	}
+	return id, 0, false
+}
+
+// answer ends the latest attempt of a request.
+func (b *bench) answer(id choice.RequestID, s choice.ServerID, o choice.Outcome) []choice.Action {
+	n := b.tries[id]
+	b.tries[id]++
+	return b.tell(choice.AttemptEnded{Request: id, Attempt: n, Server: s, Outcome: o, Settled: o == choice.OK})
+}
+
+func up(ids ...choice.ServerID) (out []choice.ServerEntry) {
+	for _, id := range ids {
+		out = append(out, choice.ServerEntry{Server: id, Weight: 1})
+	}
+	return out
+}
+
+func basic() choice.Settings {
+	return choice.Settings{
+		Gateways: 1, MaxAttempts: 3, Cancel: true, Counter: true, DrainGrace: time.Second,
+		ColdShare: 0.2, ColdTime: 10 * time.Second, OverloadFactor: 4, OverloadTime: time.Second,
+		Classes: []choice.Class{
+			{Repeat: choice.Safe, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1},
+			{Repeat: choice.Unsafe, Aim: time.Second, Deadline: 2 * time.Second, Worth: 2},
+			{Repeat: choice.Keyed, Scope: choice.ScopeZone, KeyTTL: time.Second, Aim: time.Second,
+				Deadline: 2 * time.Second, Worth: 1, LateShare: 0.5},
+		},
+		Plans: []choice.Plan{{Rate: 1000, Burst: 1000, Price: 1}},
+	}
+}
+
+func count[A choice.Action](actions []choice.Action) (n int) {
+	for _, a := range actions {
+		if _, ok := a.(A); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func TestRetryKeepsRepeatClass(t *testing.T) {
+	cases := []struct {
+		name    string
+		class   choice.ClassID
+		outcome choice.Outcome
+		send    int
+		refuse  int
+		fail    int
+	}{
+		{"safe after an error", 0, choice.Error, 1, 0, 0},
+		{"safe after full", 0, choice.Full, 1, 0, 0},
+		{"unsafe after full", 1, choice.Full, 1, 0, 0},
+		{"unsafe after no connection", 1, choice.ConnectFailed, 1, 0, 0},
+		{"unsafe after an error", 1, choice.Error, 0, 0, 1},
+		{"unsafe after a reset", 1, choice.Reset, 0, 0, 1},
+		{"unsafe after a time-out", 1, choice.TimedOut, 0, 0, 1},
+		{"unsafe after a cancel", 1, choice.Cancelled, 0, 0, 1},
+		{"unsafe never sent", 1, choice.Void, 1, 0, 0},
+		{"keyed after an error", 2, choice.Error, 1, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := start(t, basic(), 0, up(1, 2, 3)...)
+			id, s, _ := b.ask("a", c.class, 1)
+			b.wait(20 * time.Millisecond)
+			did := b.answer(id, s, c.outcome)
+			if n := count[choice.Send](did); n != c.send {
+				t.Errorf("%d sends, want %d", n, c.send)
+			}
+			if n := count[choice.Refuse](did); n != c.refuse {
+				t.Errorf("%d refusals, want %d", n, c.refuse)
+			}
+			if n := count[choice.Fail](did); n != c.fail {
+				t.Errorf("%d failures, want %d", n, c.fail)
+			}
+		})
+	}
+}
+
+func TestKeyedStaysInZoneAndTime(t *testing.T) {
+	servers := []choice.ServerEntry{{Server: 1, Zone: 0}, {Server: 2, Zone: 0}, {Server: 3, Zone: 1}, {Server: 4, Zone: 1}}
+	zone := map[choice.ServerID]int{1: 0, 2: 0, 3: 1, 4: 1}
+	for range 20 {
+		b := start(t, basic(), 0, servers...)
+		id, s, _ := b.ask("a", 2, 1)
+		b.wait(10 * time.Millisecond)
+		for _, a := range b.answer(id, s, choice.Error) {
+			if a, ok := a.(choice.Send); ok && zone[a.Server] != zone[s] {
+				t.Fatalf("resent from zone %d to %d", zone[s], zone[a.Server])
+			}
+		}
+	}
+	b := start(t, basic(), 0, servers...)
+	id, s, _ := b.ask("a", 2, 1)
+	b.wait(1500 * time.Millisecond) // the key is forgotten by now
+	did := b.answer(id, s, choice.Error)
+	if count[choice.Send](did) != 0 || count[choice.Fail](did) != 1 {
+		t.Errorf("after the key's life: %v, want a failure", did)
+	}
+}
+
+func TestDrainingAndGoneGetNothing(t *testing.T) {
+	for _, state := range []choice.ServerState{choice.Draining, choice.Gone} {
+		b := start(t, basic(), 0, up(1, 2)...)
+		id, first, _ := b.ask("a", 0, 1)
+		other := 3 - first
+		b.tell(choice.ServersChanged{Entries: []choice.ServerEntry{{Server: other, State: state}}})
+		for range 30 {
+			if _, s, sent := b.ask("a", 0, 1); sent && s == other {
+				t.Fatalf("sent to a server in state %v", state)
+			}
+		}
+		for _, a := range b.answer(id, first, choice.Full) {
+			if a, ok := a.(choice.Send); ok && a.Server == other {
+				t.Fatal("retried at a server that is not up")
+			}
+		}
+	}
+	b := start(t, basic(), 0, up(1, 2)...)
+	b.tell(choice.ServersChanged{Full: true})
+	if _, _, sent := b.ask("a", 0, 1); sent || count[choice.Refuse](b.did) != 1 {
+		t.Error("an empty list must give a prompt refusal")
+	}
+}
+
+func TestDeadlineAnswersOnce(t *testing.T) {
+	for class, fail := range []int{0, 1} {
+		b := start(t, basic(), 0, up(1)...)
+		id, s, _ := b.ask("a", choice.ClassID(class), 1)
+		b.wait(2 * time.Second)
+		b.answer(id, s, choice.TimedOut)
+		b.answer(id, s, choice.OK) // late and doubled news
+		b.tell(choice.ClientLeft{Request: id})
+		b.wait(time.Minute)
+		if r, f := count[choice.Refuse](b.did), count[choice.Fail](b.did); r != 1-fail || f != fail {
+			t.Errorf("class %d: %d refusals and %d failures", class, r, f)
+		}
+	}
+}
+
+func TestColdServerGetsItsShare(t *testing.T) {
+	set := basic()
+	at := time.Hour
+	servers := up(1, 2, 3, 4)
+	servers[3].Started = at
+	b := start(t, set, at, servers...)
+	sent := map[choice.ServerID]int{}
+	for range 200 {
+		b.wait(5 * time.Millisecond)
+		if id, s, ok := b.ask("a", 0, 1); ok {
+			sent[s]++
+			b.wait(2 * time.Millisecond)
+			b.answer(id, s, choice.OK)
+		}
+	}
+	warm := float64(sent[1]+sent[2]+sent[3]) / 3
+	if cold := float64(sent[4]); cold > 0.25*4*0.5*warm {
+		t.Errorf("cold server got %v, warm ones %v on average", cold, warm)
+	}
+}
+
+func TestHungServerIsLeft(t *testing.T) {
+	b := start(t, basic(), 0, up(1, 2, 3, 4)...)
+	stuck := 0
+	for range 400 {
+		b.wait(10 * time.Millisecond)
+		id, s, ok := b.ask("a", 0, 1)
+		if !ok {
+			continue
+		}
+		if s == 1 {
+			stuck++
+			continue
+		}
+		b.wait(5 * time.Millisecond)
+		b.answer(id, s, choice.OK)
+	}
+	if stuck > 12 {
+		t.Errorf("a server that answers nothing got %d of 400", stuck)
+	}
+}
+
+func TestFastErrorsAreLeft(t *testing.T) {
+	b := start(t, basic(), 0, up(1, 2, 3, 4)...)
+	bad := 0
+	for range 400 {
+		b.wait(10 * time.Millisecond)
+		id, s, ok := b.ask("a", 1, 1)
+		if !ok {
+			continue
+		}
+		if s == 1 {
+			bad++
+			b.wait(time.Millisecond)
+			b.answer(id, s, choice.Error)
+			continue
+		}
+		b.wait(50 * time.Millisecond)
+		b.answer(id, s, choice.OK)
+	}
+	if bad > 40 {
+		t.Errorf("a server that fails fast got %d of 400", bad)
+	}
+}
+
+func TestAllSlowAloneEjectsNobody(t *testing.T) {
+	b := start(t, basic(), 0, up(1, 2, 3)...)
+	used := map[choice.ServerID]bool{}
+	for range 50 {
+		b.wait(100 * time.Millisecond)
+		if id, s, ok := b.ask("a", 1, 1); ok {
+			used[s] = true
+			b.answer(id, s, choice.Error)
+		}
+	}
+	clear(used)
+	for range 50 {
+		b.wait(100 * time.Millisecond)
+		if id, s, ok := b.ask("a", 1, 1); ok {
+			used[s] = true
+			b.answer(id, s, choice.Error)
+		}
+	}
+	if len(used) < 2 {
+		t.Errorf("only %d of 3 equally failing servers are used", len(used))
+	}
+}
+
+func TestQuota(t *testing.T) {
+	cases := []struct {
+		name     string
+		plan     choice.Plan
+		spread   int
+		counter  func(choice.Count) (choice.Outcome, float64) // what the counter says to an add
+		min, max int                                          // of 400 requests in 10 s
+	}{
+		{"one gateway holds the whole", choice.Plan{Rate: 10, Burst: 20, Price: 1}, 1, nil, 115, 121},
+		{"silent counter: the split", choice.Plan{Rate: 10, Burst: 20, Price: 1}, 2, silent, 55, 61},
+		{"refusing counter: the split", choice.Plan{Rate: 10, Burst: 20, Price: 1}, 2, refusing, 55, 61},
+		{"alone at the counter: the whole", choice.Plan{Rate: 10, Burst: 20, Price: 1}, 2, alone(), 100, 121},
+		{"others use the same: half", choice.Plan{Rate: 10, Burst: 20, Price: 1}, 2, twice(), 45, 75},
+		{"soft plan: the loops decide", choice.Plan{Rate: 10, Burst: 20, Price: 1, OverWorth: 0.5}, 1, nil, 350, 400},
+		{"ceiling, silent counter: the slack and its split",
+			choice.Plan{Rate: 100, Burst: 100, Price: 1, CeilingRate: 10, CeilingBurst: 20, CeilingSlack: 4}, 2, silent, 40, 52},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			set := basic()
+			set.Gateways = 3
+			set.Plans = []choice.Plan{c.plan}
+			b := start(t, set, 0, up(1, 2, 3, 4, 5, 6)...)
+			sent, seen := 0, 0
+			for range 400 {
+				b.wait(25 * time.Millisecond)
+				for ; seen < len(b.did); seen++ {
+					if a, ok := b.did[seen].(choice.Count); ok {
+						o, total := c.counter(a)
+						b.tell(choice.Counted{Name: a.Name, Outcome: o, Total: total})
+					}
+				}
+				if id, s, ok := b.ask("a", 0, c.spread); ok {
+					sent++
+					b.answer(id, s, choice.OK)
+				}
+			}
+			if sent < c.min || sent > c.max {
+				t.Errorf("%d sent on, want %d to %d", sent, c.min, c.max)
+			}
+		})
+	}
+}
+
+func silent(choice.Count) (choice.Outcome, float64)   { return choice.TimedOut, 0 }
+func refusing(choice.Count) (choice.Outcome, float64) { return choice.ConnectFailed, 0 }
+
+func alone() func(choice.Count) (choice.Outcome, float64) { return shared(1) }
+func twice() func(choice.Count) (choice.Outcome, float64) { return shared(2) }
+
+// shared is a counter to which all gateways together add factor times what this one does.
+func shared(factor float64) func(choice.Count) (choice.Outcome, float64) {
+	totals := map[string]float64{}
+	return func(a choice.Count) (choice.Outcome, float64) {
+		totals[a.Name] += factor * a.Amount
+		return choice.OK, totals[a.Name]
+	}
+}
+
+func TestBadSettings(t *testing.T) {
+	for _, change := range []func(*choice.Settings){
+		func(s *choice.Settings) { s.Classes = nil },
+		func(s *choice.Settings) { s.Plans[0].Rate = -1 },
+		func(s *choice.Settings) { s.Plans[0].Burst = math.NaN() },
+		func(s *choice.Settings) { s.Classes[0].Aim = -1 },
+	} {
+		set := basic()
+		change(&set)
+		if _, _, err := choice.New(set, 1, 0); err == nil {
+			t.Errorf("no error for %+v", set)
+		}
+	}
+	set := basic()
+	set.ColdShare, set.MaxAttempts, set.Gateways, set.OverloadTime, set.ColdTime = 0, 0, 0, 0, 0
+	set.Classes[0].Aim = 0
+	b := start(t, set, 0, up(1)...)
+	b.ask("a", 0, 0)
+	b.wait(3 * time.Second)
+}
+
+// TestInvariants plays random events against gateways and checks the rules that can be seen from outside.
+func TestInvariants(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
+	}
+}
+
+func playRandom(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	set := basic()
+	set.Gateways = 1 + rng.IntN(3)
+	set.Plans = append(set.Plans, choice.Plan{Open: 2, Price: 2},
+		choice.Plan{Rate: 5, Burst: 5, Price: 3, CeilingRate: 8, CeilingBurst: 10, CeilingSlack: 2})
+	b := start(t, set, 0, up(1, 2, 3, 4, 5)...)
+	type try struct {
+		server choice.ServerID
+		open   bool
+		ran    bool
+	}
+	type row struct {
+		class   choice.ClassID
+		tries   []try
+		answers int
+		ended   bool
+		due     time.Duration
+	}
+	rows := map[choice.RequestID]*row{}
+	var ids []choice.RequestID
+	state := map[choice.ServerID]choice.ServerState{}
+	check := func(actions []choice.Action) {
+		for _, a := range actions {
+			switch a := a.(type) {
+			case choice.Send:
+				r := rows[a.Request]
+				if r.ended || r.answers > 0 {
+					t.Fatalf("sent after the end of %d", a.Request)
+				}
+				if state[a.Server] != choice.Up {
+					t.Fatalf("sent to %d, which is not up", a.Server)
+				}
+				for _, o := range r.tries {
+					if o.open {
+						t.Fatalf("second copy of %d", a.Request)
+					}
+					if o.ran && r.class == 1 {
+						t.Fatalf("unsafe %d sent again", a.Request)
+					}
+				}
+				r.tries = append(r.tries, try{server: a.Server, open: true})
+			case choice.Refuse:
+				r := rows[a.Request]
+				r.answers++
+				for _, o := range r.tries {
+					if r.class != 0 && (o.ran || o.open) {
+						t.Fatalf("refused %d, which may have run", a.Request)
+					}
+				}
+			case choice.Fail:
+				rows[a.Request].answers++
+			}
+		}
+	}
+	seen := 0
+	flush := func() { check(b.did[seen:]); seen = len(b.did) }
+	for range 3000 {
+		b.wait(time.Duration(rng.IntN(20)) * time.Millisecond)
+		flush()
+		switch k := rng.IntN(20); {
+		case k < 9:
+			id := choice.RequestID(len(ids) + 1)
+			ids = append(ids, id)
+			left := time.Duration(200+rng.IntN(1800)) * time.Millisecond
+			r := &row{class: choice.ClassID(rng.IntN(3)), due: b.now + left}
+			rows[id] = r
+			b.tell(choice.Arrived{Request: id, Class: r.class, Plan: choice.PlanID(rng.IntN(5) - 1),
+				Customer: fmt.Sprint(rng.IntN(9)), Left: left, Units: float64(rng.IntN(3)), Spread: rng.IntN(4)})
+		case k < 17 && len(ids) > 0:
+			id := ids[max(0, len(ids)-1-rng.IntN(30))]
+			r := rows[id]
+			for i := range r.tries {
+				if a := &r.tries[i]; a.open {
+					o := choice.Outcome(rng.IntN(8))
+					a.open = false
+					a.ran = o != choice.Full && o != choice.ConnectFailed && o != choice.Void
+					settled := o == choice.OK || r.answers > 0 || r.ended
+					r.ended = r.ended || o == choice.OK && r.answers == 0
+					b.tell(choice.AttemptEnded{Request: id, Attempt: i, Server: a.server, Outcome: o, Settled: settled})
+				}
+			}
+		case k == 17 && len(ids) > 0:
+			id := ids[rng.IntN(len(ids))]
+			if rows[id].answers == 0 {
+				rows[id].ended = true
+			}
+			b.tell(choice.ClientLeft{Request: id})
+		case k == 18:
+			s := choice.ServerID(1 + rng.IntN(6))
+			state[s] = choice.ServerState(rng.IntN(3))
+			b.tell(choice.ServersChanged{Entries: []choice.ServerEntry{{Server: s, State: state[s], Started: b.now}}})
+		default: // news of what is not known
+			b.tell(choice.Counted{Name: "x.1", Total: 5})
+			b.tell(choice.AttemptEnded{Request: 1 << 40, Attempt: -1, Outcome: choice.OK})
+			b.tell(choice.ProbeEnded{Server: 99})
+		}
+		flush()
+		for _, id := range ids[max(0, len(ids)-300):] {
+			if r := rows[id]; !r.ended && r.answers == 0 && b.now > r.due+time.Millisecond {
+				t.Fatalf("no answer for %d by its deadline", id)
+			}
+		}
+	}
+	for id, r := range rows {
+		if r.answers > 1 || r.ended && r.answers > 0 {
+			t.Fatalf("%d: %d answers, ended %v", id, r.answers, r.ended)
+		}
+	}
+}
