--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,25 +39,28 @@
 	addAtLeast  = time.Second            // interval far from it
 	addCalm     = 0.25                   // far: new use over all gateways below this share of what is unspent
 	addBackoff  = 2 * time.Second        // longest wait after failed adds
-	othersLag   = time.Second            // smoothing of the use seen from other gateways
-	otherZone   = 1.05                   // factor on the expected wait in another zone
-	triedBefore = 100.0                  // the same at a server that the request has tried
-	choices     = 3                      // servers compared for one attempt
-	failsToOut  = 3                      // failures in a row that eject a server
-	failWeight  = 0.1                    // weight of a new outcome in a server's share of failures
-	failShare   = 0.5                    // or this share of its recent attempts
-	outFirst    = 2 * time.Second        // first ejection; doubles up to outMost
-	outMost     = 16 * time.Second       // long enough to cost little, short enough to come back
-	mostOut     = 0.4                    // share of the list that may be avoided as unhealthy
-	stallTimes  = 4.0                    // silence, in usual latencies, after which a server is suspected
-	coldSpread  = 2.0                    // a cold server gets at most this multiple of its weight's share
-	retryShare  = 0.2                    // further attempts per first attempt
-	retryBurst  = 20.0                   // further attempts at once
-	patience    = 8.0                    // deviations above the mean latency that an attempt may take
-	smoothing   = 0.05                   // weight of a new latency
-	nameLife    = 3 * time.Second        // life of a counter name: its second and a slow call
-	customerTTL = 60 * time.Second       // a customer idle for this long is forgotten
-	leftover    = 30 * time.Second       // an attempt whose outcome never comes is forgotten this long after its end
+	openWeight  = 0.1                    // weight of a new count of attempts out elsewhere
+	unitsUsed   = "."                    // the two kinds of counter names
+	attemptsOut = "/"
+	othersLag   = time.Second      // smoothing of the use seen from other gateways
+	otherZone   = 1.05             // factor on the expected wait in another zone
+	triedBefore = 100.0            // the same at a server that the request has tried
+	choices     = 3                // servers compared for one attempt
+	failsToOut  = 3                // failures in a row that eject a server
+	failWeight  = 0.1              // weight of a new outcome in a server's share of failures
+	failShare   = 0.5              // or this share of its recent attempts
+	outFirst    = 2 * time.Second  // first ejection; doubles up to outMost
+	outMost     = 16 * time.Second // long enough to cost little, short enough to come back
+	mostOut     = 0.4              // share of the list that may be avoided as unhealthy
+	stallTimes  = 4.0              // silence, in usual latencies, after which a server is suspected
+	coldSpread  = 2.0              // a cold server gets at most this multiple of its weight's share
+	retryShare  = 0.2              // further attempts per first attempt
+	retryBurst  = 20.0             // further attempts at once
+	patience    = 8.0              // deviations above the mean latency that an attempt may take
+	smoothing   = 0.05             // weight of a new latency
+	nameLife    = 3 * time.Second  // life of a counter name: its second and a slow call
+	customerTTL = 60 * time.Second // a customer idle for this long is forgotten
+	leftover    = 30 * time.Second // an attempt whose outcome never comes is forgotten this long after its end
 )
 
 var errSettings = errors.New("choice: bad settings")
@@ -74,8 +77,8 @@
 	customers map[string]*customer
 	roll      []*customer // the same, for sweeping a few at a time
 	swept     int
-	due       []*customer          // customers with units to add
-	calls     map[string]*customer // counter calls under way, by name
+	due       []*customer     // customers with units to add
+	calls     map[string]call // counter calls under way, by name
 	servers   map[ServerID]*server
 	list      []*server // those that discovery has up
 	requests  map[RequestID]*request
@@ -104,7 +107,7 @@
 	set.MaxAttempts, set.Gateways = max(1, set.MaxAttempts), max(1, set.Gateways)
 	set.Plans = append(slices.Clone(set.Plans), Plan{Price: 1}) // for plans that were not described
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: now, budget: retryBurst,
-		customers: map[string]*customer{}, calls: map[string]*customer{}, servers: map[ServerID]*server{},
+		customers: map[string]*customer{}, calls: map[string]call{}, servers: map[ServerID]*server{},
 		requests: map[RequestID]*request{}, sensor: sensor{knee: kneeMost, sampled: now, places: 1}}
 	for _, c := range set.Classes {
 		g.sensor.aim += max(c.Aim, tick).Seconds() / float64(len(set.Classes))
@@ -348,7 +351,11 @@
 	called         int64         // the second named by the call under way
 	answered, next time.Duration // last answer; no call before next
 	backoff        time.Duration
-	open           int // attempts out
+	open, told     int     // attempts out, and how many of them the counter has in this second
+	telling        bool    // a call about them is under way
+	elsewhere      float64 // attempts out at other gateways, last seen at heard; 0: not known
+	usual          float64 // and on average
+	heard          time.Duration
 	used           time.Duration
 }
 
@@ -378,18 +385,54 @@
 
 func second(t time.Duration) int64 { return int64(t / time.Second) }
 
-// call adds to the number of a customer and second.
-func (g *Gateway) call(c *customer) {
+type call struct {
+	c      *customer
+	amount float64
+	second int64
+	open   bool // about attempts out, not units
+}
+
+// call adds to a number of a customer and second.
+func (g *Gateway) call(c *customer, kind string, amount float64) {
 	name := c.id
 	if len(name) > 40 { // names are bounded
 		name = strconv.FormatUint(math.Float64bits(c.hash), 36)
 	}
-	c.called = second(g.now)
-	name += "." + strconv.FormatInt(c.called, 36)
-	g.calls[name] = c
-	g.do(Count{Name: name, Amount: c.fresh, TTL: nameLife})
-	c.calling, c.adding, c.fresh, c.next = true, c.fresh, 0, g.now+addEvery
-	c.added += c.adding
+	name += kind + strconv.FormatInt(second(g.now), 36)
+	g.calls[name] = call{c: c, amount: amount, second: second(g.now), open: kind == attemptsOut}
+	g.do(Count{Name: name, Amount: amount, TTL: nameLife})
+}
+
+// tell brings the counter's number of attempts out up to date; each second's starts from nothing.
+func (g *Gateway) tell(c *customer) {
+	if !g.set.Counter || c.plan.Open == 0 || c.spread == 1 || c.telling || g.now < c.next || c.open == c.told {
+		return
+	}
+	c.telling = true
+	g.call(c, attemptsOut, float64(c.open-c.told))
+	c.told = c.open
+}
+
+// heardOpen takes the number of attempts out at all gateways.
+func (g *Gateway) heardOpen(k call, e Counted) {
+	c := k.c
+	c.telling = false
+	if e.Outcome != OK || anyBad(e.Total) {
+		if e.Outcome != TimedOut && k.second == second(g.now) {
+			c.told -= int(k.amount)
+		}
+		c.heard = 0
+		g.backOff(c)
+	} else if k.second == second(g.now) {
+		c.elsewhere, c.heard, c.backoff = max(0, e.Total-float64(c.told)), g.now, 0
+		c.usual += (c.elsewhere - c.usual) * openWeight
+	}
+}
+
+// backOff puts off the next call after one that failed.
+func (g *Gateway) backOff(c *customer) {
+	c.backoff = min(addBackoff, max(addEvery, c.backoff*2))
+	c.next = g.now + c.backoff
 }
 
 // settle brings a customer's stores to now: they fill at their rates and are drawn on by other gateways at the
@@ -404,13 +447,16 @@
 	c.level = min(p.Burst*share, max(0, c.level+p.Rate*share*dt-taken))
 	c.ceiling = min(p.CeilingBurst*share, c.ceiling+p.CeilingRate*share*dt-taken)
 	if second(g.now) != second(c.at) {
-		c.guessed, c.added, c.seen = 0, 0, 0
+		c.guessed, c.added, c.seen, c.told = 0, 0, 0, 0
 	} else {
 		c.guessed += taken
 	}
 	if even := p.Rate * (1 - 1/c.spread); c.others > even && g.now-c.answered > 2*addEvery {
 		c.others += (even - c.others) * (1 - math.Exp(-dt/othersLag.Seconds()))
 	}
+	if g.now-c.heard > 2*addEvery {
+		c.usual *= math.Exp(-dt / othersLag.Seconds())
+	}
 	c.at = g.now
 }
 
@@ -436,11 +482,11 @@
 	if p.Open == 0 {
 		return true
 	}
-	if !c.whole {
+	if c.heard == 0 {
 		return float64(c.open) < float64(p.Open)/c.spread
 	}
-	elsewhere := c.others * g.latency[class].mean
-	return float64(c.open)+elsewhere+0.5 < float64(p.Open)
+	old := math.Exp(-(g.now - c.heard).Seconds() / g.latency[class].mean)
+	return float64(c.open)+c.elsewhere*old+c.usual*(1-old)+0.5 < float64(p.Open)
 }
 
 // underCeiling tells whether a first attempt keeps the hard limit whatever the other gateways do meanwhile: what
@@ -457,13 +503,12 @@
 func (g *Gateway) spend(c *customer, units float64) {
 	c.level = max(0, c.level-units)
 	c.ceiling -= units
-	if c.plan.Rate == 0 {
-		units = 1 // open caps are shared as attempts a second
-	}
-	if !g.set.Counter || c.spread == 1 || (c.plan.Rate == 0 && c.plan.Open == 0 && c.plan.CeilingRate == 0) {
+	if !g.set.Counter || c.spread == 1 {
 		return
 	}
-	c.fresh += units
+	if c.plan.Rate > 0 || c.plan.CeilingRate > 0 {
+		c.fresh += units
+	}
 	if !c.queued {
 		c.queued = true
 		g.due = append(g.due, c)
@@ -474,52 +519,58 @@
 func (g *Gateway) addUse() {
 	keep := g.due[:0]
 	for _, c := range g.due {
-		if c.fresh == 0 && !c.calling {
+		g.settle(c)
+		g.tell(c)
+		if c.fresh == 0 && !c.calling && !c.telling && (c.open == 0 || c.plan.Open == 0) && c.told <= c.open {
 			c.queued = false
 			continue
 		}
 		keep = append(keep, c)
-		g.settle(c)
 		next := c.next
 		if c.plan.Rate > 0 && c.plan.CeilingRate == 0 && c.fresh*c.spread < addCalm*c.level {
 			next += addAtLeast - addEvery
 		}
-		if !c.calling && g.now >= next {
-			g.call(c)
+		if !c.calling && g.now >= next && c.fresh > 0 {
+			g.call(c, unitsUsed, c.fresh)
+			c.calling, c.adding, c.fresh, c.next = true, c.fresh, 0, g.now+addEvery
+			c.added += c.adding
 		}
 	}
 	g.due = keep
 }
 
 func (g *Gateway) counted(e Counted) {
-	c := g.calls[e.Name]
-	if c == nil {
+	k, ok := g.calls[e.Name]
+	if !ok {
 		return
 	}
 	delete(g.calls, e.Name)
+	c := k.c
 	g.settle(c)
-	amount := c.adding
+	if k.open {
+		g.heardOpen(k, e)
+		return
+	}
 	c.calling, c.adding = false, 0
-	if e.Outcome != OK || !(e.Total >= 0) {
+	if e.Outcome != OK || anyBad(e.Total) {
 		if e.Outcome != TimedOut || c.plan.CeilingRate > 0 {
-			c.fresh += amount // not added, or safer counted twice than not at all
-			c.added = max(0, c.added-amount)
+			c.fresh += k.amount // not added, or safer counted twice than not at all
+			c.added = max(0, c.added-k.amount)
 		}
-		c.backoff = min(addBackoff, max(addEvery, c.backoff*2))
-		c.next = g.now + c.backoff
+		g.backOff(c)
 		c.setWhole(false)
 		return
 	}
 	c.backoff = 0
-	if c.called != second(g.now) {
+	if k.second != second(g.now) {
 		return // the second turned under way: the guess for it stands
 	}
-	if e.Total < c.added-c.fresh-1e-6 { // lost what was added: it came back empty
+	if e.Total < c.added-1e-6 { // lost what was added: it came back empty
 		c.setWhole(false)
 		return
 	}
-	since := max(c.answered, time.Duration(c.called)*time.Second)
-	news := max(0, min(e.Total-c.added, c.plan.Rate+c.plan.Burst+float64(c.plan.Open)*10)-c.seen)
+	since := max(c.answered, time.Duration(k.second)*time.Second)
+	news := max(0, min(e.Total-c.added, 2*(c.plan.Rate+c.plan.Burst))-c.seen)
 	c.setWhole(true)
 	c.level = min(c.plan.Burst, max(0, c.level+c.guessed-news))
 	c.ceiling = min(c.plan.CeilingBurst, c.ceiling+c.guessed-news)
@@ -789,6 +840,7 @@
 	}
 	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: g.busy(s) + 1, open: true})
 	r.customer.open++
+	g.tell(r.customer)
 	if s.open == 0 {
 		s.waiting = g.now
 	}
