--- a/choice/choice.go
+++ b/choice/choice.go
@@ -6,8 +6,6 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"errors"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -31,10 +29,10 @@
 	slowest     = 0.35                   // expected latency, as a share of the aim, that counts as full load
 	tooSlow     = 0.6                    // the same at which an attempt is not begun
 	leastKnee   = 0.97                   // lowest share of full use that is learned as the knee
-	kneeMost    = 1.05                   // where it starts: reported use alone cuts nobody before slow answers are seen
-	kneeDown    = 0.97                   // factor on the knee for a period that refuses below it
-	kneeUp      = 1.02                   // factor for a busy period that does not
-	reportLife  = 3 * time.Second        // a load report older than this is stale
+	kneeMost    = 1.05                   // where it starts: reported use alone cuts nobody
+	kneeStep    = 1.02                   // factor by which it moves in a period
+	probeDear   = 0.05                   // price of a probe a request above which none is sent
+	reportLife  = 4 * time.Second        // a load report older than this is stale
 	addEvery    = 250 * time.Millisecond // interval of counter adds near a quota
 	addAtLeast  = time.Second            // interval far from it
 	addCalm     = 0.25                   // far: new use over all gateways below this share of what is unspent
@@ -59,47 +57,15 @@
 	patience    = 8.0              // deviations above the mean latency that an attempt may take
 	smoothing   = 0.05             // weight of a new latency
 	nameLife    = 3 * time.Second  // life of a counter name: its second and a slow call
+	sweepAtOnce = 20               // customers looked at in a tick
 	customerTTL = 60 * time.Second // a customer idle for this long is forgotten
-	leftover    = 30 * time.Second // an attempt whose outcome never comes is forgotten this long after its end
+	leftover    = 30 * time.Second // an attempt never heard of is forgotten this long after its end
 )
 
-var errSettings = errors.New("choice: bad settings")
-
-// Gateway decides for one front door. It is a deterministic state machine and not safe for concurrent use.
-type Gateway struct {
-	set       Settings
-	rng       *rand.Rand
-	now       time.Duration
-	out       []Action
-	sensor    sensor
-	loops     []loop  // by worth, highest first; the last is for use beyond soft quotas
-	rank      [][]int // loop by class and plan
-	customers map[string]*customer
-	roll      []*customer // the same, for sweeping a few at a time
-	swept     int
-	due       []*customer     // customers with units to add
-	calls     map[string]call // counter calls under way, by name
-	servers   map[ServerID]*server
-	list      []*server // those that discovery has up
-	requests  map[RequestID]*request
-	latency   []latency // by class
-	budget    float64   // further attempts that may be made
-}
-
 // New makes a gateway. The actions are its first ones.
 func New(set Settings, seed uint64, now time.Duration) (*Gateway, []Action, error) {
-	if len(set.Classes) == 0 {
-		return nil, nil, fmt.Errorf("%w: no classes", errSettings)
-	}
-	for i, c := range set.Classes {
-		if anyBad(c.Worth, c.LateShare, float64(c.Aim), float64(c.Deadline), float64(c.KeyTTL)) {
-			return nil, nil, fmt.Errorf("%w: class %d: a negative figure", errSettings, i)
-		}
-	}
-	for i, p := range set.Plans {
-		if anyBad(p.Rate, p.Burst, p.Price, p.CeilingRate, p.CeilingBurst, p.CeilingSlack, float64(p.Open)) {
-			return nil, nil, fmt.Errorf("%w: plan %d: a negative figure", errSettings, i)
-		}
+	if err := check(set); err != nil {
+		return nil, nil, err
 	}
 	if !(set.ColdShare > 0) || set.ColdShare > 1 {
 		set.ColdShare = 1 // no cold start is described
@@ -115,17 +81,11 @@
 	}
 	g.sensor.took, g.sensor.usual = g.sensor.aim/8, g.sensor.aim/6
 	g.rankClasses()
-	if set.Subscribe {
-		g.do(Subscribe{})
-	}
-	g.do(SetTimer{At: now + tick, Timer: Timer{Kind: TickTimer}})
+	g.subscribe = set.Subscribe
+	g.tick()
 	return g, g.out, nil
 }
 
-func anyBad(xs ...float64) bool {
-	return slices.ContainsFunc(xs, func(x float64) bool { return !(x >= 0) || math.IsInf(x, 0) })
-}
-
 // Handle takes in an event and returns what to do now. Events that name what is unknown or over are ignored.
 func (g *Gateway) Handle(e Event, now time.Duration) []Action {
 	g.now, g.out = max(g.now, now), nil
@@ -134,7 +94,7 @@
 		g.arrived(e)
 	case ClientLeft:
 		if r := g.requests[e.Request]; r != nil && !r.ended {
-			g.end(r, answerNone)
+			g.end(r, false)
 		}
 	case AttemptEnded:
 		g.attemptEnded(e)
@@ -168,31 +128,26 @@
 	g.watch()
 	g.addUse()
 	g.sweep()
-	if g.now-g.sensor.sampled >= period {
-		g.control()
+	if g.now-g.sensor.sampled < period {
+		return
+	}
+	g.control()
+	if g.subscribe { // not at once after a failure: many gateways hear of it together
+		g.subscribe = false
+		g.do(Subscribe{})
+	}
+	// one probe at a time, so that each server is heard of within a report's life
+	if n := len(g.list); n > 0 && g.set.Probes && g.set.LoadByProbe && g.set.ProbePrice < probeDear {
+		g.do(Probe{Server: g.list[g.turn%n].Server})
 	}
 }
 
 // 1. Sensor: how loaded the back end is.
 
-type sensor struct {
-	knee    float64 // reported use of processors at which answers are seen to slow
-	sampled time.Duration
-	took    float64 // recent latencies, and the places in line that they were spent in
-	places  float64
-	usual   float64 // recent latency over all classes
-	granted float64 // work admitted over all classes, smoothed like loop.asked
-	aim     float64 // usual aim, seconds
-	queue   float64 // sum over the ticks of this period of the wait to expect, as a share of the aim
-	ticks   float64
-	done    float64 // attempts that ended lately at servers in good standing
-	bad     float64 // of these, refused as full, timed out or slower than their aim
-}
-
 // report keeps a server's load. Figures that no server can have are not taken.
 func (g *Gateway) report(s *server, load []float64) {
 	for i, f := range g.set.LoadFields {
-		if i >= len(load) || !(load[i] >= 0) || math.IsInf(load[i], 0) {
+		if i >= len(load) || anyBad(load[i]) {
 			continue
 		}
 		switch f {
@@ -206,14 +161,15 @@
 	}
 }
 
-// expect is the latency to expect of a new attempt at s, in seconds: its place in line times what a place takes.
-// It rises with the line at once, long before slow answers come back, and does not depend on reports: a server
-// that fails fast, or whose report froze, does not read as room.
+// expect is the latency to expect of a new attempt at s, in seconds: its place in line times what a place
+// takes. It rises with the line at once, long before slow answers come back, and does not depend on reports:
+// a server that fails fast, or whose report froze, does not read as room.
 func (g *Gateway) expect(s *server) float64 {
 	return g.sensor.took / g.sensor.places * (g.busy(s) + 1) * s.slowness / g.warmth(s)
 }
 
-// busy is the number of attempts in work at s from all gateways; from this one's share where reports do not tell.
+// busy is the number of attempts in work at s from all gateways; from this one's share where reports do not
+// tell.
 func (g *Gateway) busy(s *server) float64 {
 	if s.counted > 0 && g.now-s.counted < reportLife {
 		return float64(s.open) + s.others*math.Exp(-(g.now-s.counted).Seconds()/linger.Seconds())
@@ -225,22 +181,18 @@
 func (g *Gateway) watch() {
 	var waits []float64
 	for _, s := range g.list {
-		waits = append(waits, g.expect(s))
+		waits = append(waits, g.expect(s)/g.sensor.aim)
 	}
 	slices.Sort(waits)
-	sum := 0.0
-	n := int(math.Ceil(float64(len(waits)) * (1 - worstPart)))
-	for _, w := range waits[:n] {
-		sum += w
-	}
-	if n > 0 {
-		g.sensor.queue += sum / float64(n) / g.sensor.aim
+	n := math.Ceil(float64(len(waits)) * (1 - worstPart))
+	for _, w := range waits[:int(n)] {
+		g.sensor.queue += w / n
 	}
 	g.sensor.ticks++
 }
 
-// estimate gives U, where 1 is the load at which servers refuse or are too slow. It is the larger of the use that
-// they report, as a share of its knee, and of the line seen at them.
+// estimate gives U, where 1 is the load at which servers refuse or are too slow. It is the larger of the use
+// that they report, as a share of its knee, and of the line seen at them.
 func (g *Gateway) estimate() float64 {
 	s := &g.sensor
 	queue := s.queue / max(1, s.ticks) / slowest
@@ -256,26 +208,18 @@
 	if n*2 < float64(len(g.list)) || n == 0 {
 		return u
 	}
-	mean := sum / n
-	switch {
-	case u > 1 && mean < s.knee:
-		s.knee = max(s.knee*kneeDown, mean, leastKnee)
-	case u < justBelow && mean > justBelow*s.knee:
-		s.knee = min(kneeMost, s.knee*kneeUp)
+	if u > 1 {
+		s.knee = max(s.knee/kneeStep, leastKnee)
+	} else if sum/n > justBelow*s.knee {
+		s.knee = min(s.knee*kneeStep, kneeMost)
 	}
-	return max(u, mean/s.knee)
+	return max(u, sum/n/s.knee)
 }
 
 // 2. Loops: the fraction of customers admitted, by priority class.
 
-type loop struct {
-	f     float64
-	err   float64 // last control error
-	work  float64 // admitted in this period, in seconds of service
-	asked float64 // asked for, smoothed over offeredOver
-}
-
-// rankClasses gives each worth that a class under a plan can have its loop, and use beyond soft quotas the last.
+// rankClasses gives each worth that a class under a plan can have its loop, and use beyond soft quotas the
+// last.
 func (g *Gateway) rankClasses() {
 	var worths []float64
 	for _, c := range g.set.Classes {
@@ -295,15 +239,15 @@
 	}
 }
 
-// control moves every f once a period. A class's set point is what the classes above it leave (section 5 of the
-// paper); U is split by the work admitted. In this incremental form the integrator halts at the bounds of f.
-// p_max, U over f at the set point, is the set point times what a class asks for over what all are granted.
+// control moves every f once a period. A class's set point is what the classes above it leave (section 5 of
+// the paper); U is split by the work admitted. In this incremental form the integrator halts at the bounds
+// of f. p_max, U over f at the set point, is the set point times what a class asks for over what all are
+// granted.
 func (g *Gateway) control() {
 	u := min(mostOver, g.estimate())
 	t := (g.now - g.sensor.sampled).Seconds()
 	g.sensor.sampled = g.now
-	w := 5 * math.Pi / (3 * t)
-	ki := w / math.Sqrt(3)
+	ki := 5 * math.Pi / (3 * t) / math.Sqrt(3) // w over the root of 3
 	total := 0.0
 	for _, l := range g.loops {
 		total += l.work
@@ -334,45 +278,17 @@
 
 // 3. Quota: each customer's plan, shared by its gateways through the counter.
 
-type customer struct {
-	id             string
-	hash           float64
-	plan           *Plan
-	spread         float64
-	whole          bool    // the levels are of the whole stores, as the counter tells; else of this gateway's split
-	level, ceiling float64 // of the quota and the ceiling, at the time at
-	at             time.Duration
-	others         float64 // use at other gateways, units a second
-	guessed        float64 // of that, taken from the levels in this second without being seen
-	seen, added    float64 // of the counter's total for this second: what others added, and this gateway
-	fresh, adding  float64 // spent here: not added yet, and in a call under way
-	queued         bool    // among those with units to add
-	calling        bool
-	called         int64         // the second named by the call under way
-	answered, next time.Duration // last answer; no call before next
-	backoff        time.Duration
-	open, told     int     // attempts out, and how many of them the counter has in this second
-	telling        bool    // a call about them is under way
-	elsewhere      float64 // attempts out at other gateways, last seen at heard; 0: not known
-	usual          float64 // and on average
-	heard          time.Duration
-	used           time.Duration
-}
-
-// planIndex is the plan of a request; one that was not described has no limits.
-func (g *Gateway) planIndex(p PlanID) int {
-	if p < 0 || int(p) >= len(g.set.Plans) {
-		return len(g.set.Plans) - 1
-	}
-	return int(p)
-}
-
-// customer finds or makes the record. A new one, which may have spent elsewhere, gets the split of its burst, and
-// of a ceiling no more than the slack and what has filled since: it may have been drawn on until a moment ago.
+// planIndex is the plan of a request; the last, without limits, is for those that were not described.
+func (g *Gateway) planIndex(p PlanID) int { return int(min(uint(p), uint(len(g.set.Plans)-1))) }
+
+// customer finds or makes the record. A new one, which may have spent elsewhere, gets the split of its
+// burst, and of a ceiling no more than the slack and what has filled since: it may have been drawn on until
+// a moment ago.
 func (g *Gateway) customer(e Arrived) *customer {
 	c := g.customers[e.Customer]
 	if c == nil {
-		c = &customer{id: e.Customer, hash: hash(e.Customer), plan: &g.set.Plans[g.planIndex(e.Plan)], at: g.now}
+		c = &customer{id: e.Customer, hash: hash(e.Customer), at: g.now}
+		c.plan = &g.set.Plans[g.planIndex(e.Plan)]
 		c.spread = float64(min(max(1, e.Spread), g.set.Gateways))
 		c.level, c.ceiling = c.plan.Burst/c.spread, c.plan.CeilingSlack/c.spread
 		g.customers[e.Customer] = c
@@ -385,13 +301,6 @@
 
 func second(t time.Duration) int64 { return int64(t / time.Second) }
 
-type call struct {
-	c      *customer
-	amount float64
-	second int64
-	open   bool // about attempts out, not units
-}
-
 // call adds to a number of a customer and second.
 func (g *Gateway) call(c *customer, kind string, amount float64) {
 	name := c.id
@@ -405,7 +314,8 @@
 
 // tell brings the counter's number of attempts out up to date; each second's starts from nothing.
 func (g *Gateway) tell(c *customer) {
-	if !g.set.Counter || c.plan.Open == 0 || c.spread == 1 || c.telling || g.now < c.next || c.open == c.told {
+	mute := !g.set.Counter || c.plan.Open == 0 || c.spread == 1
+	if mute || c.telling || g.now < c.next || c.open == c.told {
 		return
 	}
 	c.telling = true
@@ -414,16 +324,16 @@
 }
 
 // heardOpen takes the number of attempts out at all gateways.
-func (g *Gateway) heardOpen(k call, e Counted) {
-	c := k.c
+func (g *Gateway) heardOpen(c *customer, k call, e Counted) {
 	c.telling = false
-	if e.Outcome != OK || anyBad(e.Total) {
-		if e.Outcome != TimedOut && k.second == second(g.now) {
+	switch fresh := k.second == second(g.now); {
+	case e.Outcome != OK || anyBad(e.Total):
+		if e.Outcome != TimedOut && fresh {
 			c.told -= int(k.amount)
 		}
 		c.heard = 0
 		g.backOff(c)
-	} else if k.second == second(g.now) {
+	case fresh:
 		c.elsewhere, c.heard, c.backoff = max(0, e.Total-float64(c.told)), g.now, 0
 		c.usual += (c.elsewhere - c.usual) * openWeight
 	}
@@ -435,9 +345,10 @@
 	c.next = g.now + c.backoff
 }
 
-// settle brings a customer's stores to now: they fill at their rates and are drawn on by other gateways at the
-// rate last seen. A guess about a second that has passed stays, as its last adds were never seen. A rate above an even
-// split fades to that: a gateway refusing everything adds nothing, so hears nothing, and must not believe it for ever.
+// settle brings a customer's stores to now: they fill at their rates and are drawn on by other gateways at
+// the rate last seen. A guess about a second that has passed stays, as its last adds were never seen. A rate
+// above an even split fades to that: who refuses all adds nothing, hears nothing, and must not believe it
+// for ever.
 func (g *Gateway) settle(c *customer) {
 	dt, p := (g.now - c.at).Seconds(), c.plan
 	share, taken := 1/c.spread, 0.0
@@ -476,11 +387,8 @@
 // within tells whether a try is inside the quota, as far as this gateway can know.
 func (g *Gateway) within(c *customer, units float64, class ClassID) bool {
 	p := c.plan
-	if p.Rate > 0 && c.level < units {
-		return false
-	}
-	if p.Open == 0 {
-		return true
+	if p.Rate > 0 && c.level < units || p.Open == 0 {
+		return p.Rate == 0 || c.level >= units
 	}
 	if c.heard == 0 {
 		return float64(c.open) < float64(p.Open)/c.spread
@@ -489,11 +397,10 @@
 	return float64(c.open)+c.elsewhere*old+c.usual*(1-old)+0.5 < float64(p.Open)
 }
 
-// underCeiling tells whether a first attempt keeps the hard limit whatever the other gateways do meanwhile: what
-// is not yet added stays within this gateway's split of what remains.
+// underCeiling tells whether a first attempt keeps the hard limit whatever the other gateways do meanwhile:
+// what is not yet added stays within this gateway's split of what remains.
 func (c *customer) underCeiling(units float64) bool {
-	if c.whole {
-		unadded := c.fresh + c.adding
+	if unadded := c.fresh + c.adding; c.whole {
 		return c.plan.CeilingRate == 0 || unadded+units <= (c.ceiling+unadded)/c.spread
 	}
 	return c.plan.CeilingRate == 0 || units <= c.ceiling
@@ -548,7 +455,7 @@
 	c := k.c
 	g.settle(c)
 	if k.open {
-		g.heardOpen(k, e)
+		g.heardOpen(c, k, e)
 		return
 	}
 	c.calling, c.adding = false, 0
@@ -584,47 +491,25 @@
 
 // sweep forgets customers long idle, a few at a time.
 func (g *Gateway) sweep() {
-	for range min(20, len(g.roll)) {
-		g.swept = (g.swept + 1) % len(g.roll)
-		c := g.roll[g.swept]
-		if g.now-c.used > customerTTL && c.open == 0 && !c.queued {
+	for range min(sweepAtOnce, len(g.roll)) {
+		g.turn++
+		i, last := g.turn%len(g.roll), len(g.roll)-1
+		if c := g.roll[i]; g.now-c.used > customerTTL && c.open == 0 && !c.queued {
 			delete(g.customers, c.id)
-			last := len(g.roll) - 1
-			g.roll[g.swept] = g.roll[last]
+			g.roll[i] = g.roll[last]
 			if g.roll = g.roll[:last]; last == 0 {
 				return
 			}
 		}
 	}
+	g.turn++
 }
 
 // 4. Server choice and health.
 
-type server struct {
-	ServerEntry
-	open     int     // own attempts out
-	others   float64 // in work for other gateways, as its report at counted told
-	counted  time.Duration
-	load     float64 // use of its processors, as its report at reported told
-	reported time.Duration
-	slowness float64       // latency in a place in line, relative to the fleet
-	waiting  time.Duration // since when an answer is due
-	fails    int           // in a row
-	failing  float64       // recent share
-	outUntil time.Duration // ejected until then
-	outs     int           // ejections in a row
-	trial    bool          // back from one, and not yet heard well of
-	cold     bool
-	coldAt   time.Duration
-	sent     float64 // attempts lately, decayed over OverloadTime
-	sentAt   time.Duration
-}
-
 func (g *Gateway) serversChanged(e ServersChanged) {
 	if e.Failed {
-		if g.set.Subscribe {
-			g.do(Subscribe{})
-		}
+		g.subscribe = g.set.Subscribe
 		return
 	}
 	if e.Full {
@@ -668,26 +553,23 @@
 	return g.set.ColdShare + (1-g.set.ColdShare)*max(0, age)
 }
 
-func (g *Gateway) sentLately(s *server) float64 {
-	tau := max(g.set.OverloadTime, tick).Seconds()
-	s.sent *= math.Exp(-(g.now - s.sentAt).Seconds() / tau)
-	s.sentAt = g.now
-	return s.sent
-}
-
-// suspect tells that a server leaves attempts unanswered for much longer than usual: hung, stalled or vanished.
+// suspect tells that a server leaves attempts unanswered for much longer than usual: hung, stalled or
+// vanished.
 func (g *Gateway) suspect(s *server) bool {
 	return s.open > 0 && (g.now-s.waiting).Seconds() > stallTimes*g.sensor.usual*max(1, s.slowness)
 }
 
-// choose picks a server for the next attempt of r, or nil: the one with the least wait of a few. Suspected and
-// ejected ones, and unsafe requests at one on trial, wait for better times unless hardly any other is left.
+// choose picks a server for the next attempt of r, or nil: the one with the least wait of a few. Suspected
+// and ejected ones, and unsafe requests at one on trial, wait for better times unless hardly any other is
+// left.
 func (g *Gateway) choose(r *request) *server {
 	class := g.set.Classes[r.class]
 	var pool, doubtful []*server
 	total, warm := 0.0, 0.0
 	for _, s := range g.list {
-		total, warm = total+g.sentLately(s), warm+g.warmth(s)
+		s.sent *= math.Exp(-float64(g.now-s.sentAt) / float64(max(g.set.OverloadTime, tick)))
+		s.sentAt = g.now
+		total, warm = total+s.sent, warm+g.warmth(s)
 	}
 	for _, s := range g.list {
 		w := g.warmth(s)
@@ -724,12 +606,16 @@
 
 // inScope tells whether a server discards repeats of what r may have run already.
 func inScope(r *request, class Class, s *server) bool {
-	return class.Repeat != Keyed || r.ranAt == nil || class.Scope == ScopeAll ||
-		class.Scope == ScopeZone && s.Zone == r.ranAt.Zone || class.Scope == ScopeCell && s.Cell == r.ranAt.Cell
+	if class.Repeat != Keyed || r.ranAt == nil || class.Scope == ScopeAll {
+		return true
+	}
+	return class.Scope == ScopeZone && s.Zone == r.ranAt.Zone ||
+		class.Scope == ScopeCell && s.Cell == r.ranAt.Cell
 }
 
-// judge takes an attempt's end into the health of its server. One that fails much more than the others is left
-// alone for a while and then tried with one attempt. When many fail alike the trouble is shared: none is ejected.
+// judge takes an attempt's end into the health of its server. One that fails much more than the others is
+// left alone for a while and then tried with one attempt. When many fail alike the trouble is shared: none
+// is ejected.
 func (g *Gateway) judge(s *server, o Outcome) {
 	switch o {
 	case OK:
@@ -762,35 +648,6 @@
 
 // 5. Attempts and answers.
 
-type latency struct{ mean, dev float64 }
-
-type attempt struct {
-	server *server
-	sent   time.Duration
-	place  float64 // in line at its server
-	open   bool
-}
-
-type request struct {
-	id                RequestID
-	class             ClassID
-	customer          *customer
-	units             float64
-	arrived, deadline time.Duration
-	attempts          []attempt
-	ran               bool // some attempt may have run; the first of them where and when:
-	ranAt             *server
-	ranSent           time.Duration
-	ended, streaming  bool
-}
-
-type answer int
-
-const (
-	answerNone   answer = iota // the client has it, or is gone
-	answerRefuse               // or a failure, where a refusal would promise too much
-)
-
 func (g *Gateway) arrived(e Arrived) {
 	if g.requests[e.Request] != nil {
 		return
@@ -800,24 +657,23 @@
 		return
 	}
 	c := g.customer(e)
-	units := e.Units
-	if !(units >= 0) || math.IsInf(units, 0) {
-		units = 1
-	}
-	r := &request{id: e.Request, class: e.Class, customer: c, units: units, arrived: g.now,
+	r := &request{id: e.Request, class: e.Class, customer: c, units: e.Units, arrived: g.now,
 		deadline: g.now + max(0, e.Left)}
+	if anyBad(e.Units) {
+		r.units = 1
+	}
 	g.requests[r.id] = r
 	l := &g.loops[g.rank[e.Class][g.planIndex(e.Plan)]]
-	if !g.within(c, units, e.Class) {
+	if !g.within(c, r.units, e.Class) {
+		l = &g.loops[len(g.loops)-1]
 		if c.plan.OverWorth <= c.plan.OverCost {
-			g.end(r, answerRefuse)
+			g.end(r, true)
 			return
 		}
-		l = &g.loops[len(g.loops)-1]
 	}
 	l.asked += g.latency[r.class].mean
-	if c.hash >= l.f || !c.underCeiling(units) {
-		g.end(r, answerRefuse)
+	if c.hash >= l.f || !c.underCeiling(r.units) {
+		g.end(r, true)
 		return
 	}
 	if g.send(r) {
@@ -832,7 +688,7 @@
 	s := g.choose(r)
 	left := r.deadline - g.now
 	if s == nil || left <= 0 || g.expect(s) > tooSlow*g.set.Classes[r.class].Aim.Seconds() && !r.ran {
-		g.end(r, answerRefuse)
+		g.end(r, true)
 		return false
 	}
 	if len(r.attempts) == 0 {
@@ -896,12 +752,12 @@
 	case r.ended:
 		g.drop(r)
 	case e.Settled || e.Outcome == OK:
-		g.end(r, answerNone)
+		g.end(r, false)
 	case g.mayRetry(r, class):
 		g.budget--
 		g.send(r)
 	default:
-		g.end(r, answerRefuse)
+		g.end(r, true)
 	}
 }
 
@@ -929,9 +785,10 @@
 	return (useful - g.now).Seconds() > g.latency[r.class].mean/2
 }
 
-// end is the only place where a request ends. A refusal that could mislead becomes a failure: what may have run
-// and must not run again, or whose repeats only some servers discard.
-func (g *Gateway) end(r *request, a answer) {
+// end is the only place where a request ends; an answer is owed unless the client has it or is gone. A
+// refusal that could mislead becomes a failure: what may have run and must not again, or whose repeats only
+// some discard.
+func (g *Gateway) end(r *request, owed bool) {
 	r.ended = true
 	class := g.set.Classes[r.class]
 	out := false
@@ -945,9 +802,9 @@
 	}
 	promise := class.Repeat == Safe || !r.ran && !out || class.Repeat == Keyed && class.Scope == ScopeAll
 	switch {
-	case a == answerRefuse && promise:
+	case owed && promise:
 		g.do(Refuse{Request: r.id})
-	case a == answerRefuse:
+	case owed:
 		g.do(Fail{Request: r.id})
 	}
 	g.drop(r)
@@ -960,14 +817,15 @@
 	}
 }
 
-// deadline is the backstop: an answer while the client still waits, and later an end to attempts never heard of.
+// deadline is the backstop: an answer while the client still waits, and later an end to attempts never heard
+// of.
 func (g *Gateway) deadline(id RequestID) {
 	r := g.requests[id]
 	if r == nil || g.now < r.deadline {
 		return
 	}
 	if !r.ended && !r.streaming {
-		g.end(r, answerRefuse)
+		g.end(r, true)
 	} else if r.ended && g.now >= r.deadline+leftover {
 		for i := range r.attempts {
 			g.close(r, i)
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,148 @@
+package choice
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Gateway decides for one front door. It is a deterministic state machine and not safe for concurrent use.
+type Gateway struct {
+	set       Settings
+	rng       *rand.Rand
+	now       time.Duration
+	out       []Action
+	sensor    sensor
+	loops     []loop  // by worth, highest first; the last is for use beyond soft quotas
+	rank      [][]int // loop by class and plan
+	customers map[string]*customer
+	roll, due []*customer     // the same for sweeping, and those with news for the counter
+	calls     map[string]call // counter calls under way, by name
+	servers   map[ServerID]*server
+	list      []*server // those that discovery has up
+	requests  map[RequestID]*request
+	latency   []latency // by class
+	budget    float64   // further attempts that may be made
+	turn      int       // of sweeping and probing
+	subscribe bool      // discovery is to be asked
+}
+
+// sensor is what the load of the back end is read from.
+type sensor struct {
+	knee         float64 // reported use of processors at which answers are seen to slow
+	sampled      time.Duration
+	took, places float64 // recent latencies, and the places in line that they were spent in
+	usual, aim   float64 // recent latency and mean aim over all classes, seconds
+	granted      float64 // work admitted over all classes, smoothed like loop.asked
+	queue, ticks float64 // wait to expect as a share of the aim, summed over the ticks of this period
+	done, bad    float64 // recent ends of attempts; of these refused as full, timed out or slower than their aim
+}
+
+// loop is the control of one priority class.
+type loop struct {
+	f     float64
+	err   float64 // last control error
+	work  float64 // admitted in this period, in seconds of service
+	asked float64 // asked for, smoothed over offeredOver
+}
+
+// customer is what a gateway knows of one.
+type customer struct {
+	id             string
+	hash, spread   float64
+	plan           *Plan
+	used, at       time.Duration // last asked for, and settled
+	whole          bool          // the levels are of the whole stores, as the counter tells; else of this split
+	level, ceiling float64       // what is unspent of the quota and the ceiling
+	others         float64       // use at other gateways, units a second
+	guessed        float64       // of that, taken from the levels in this second without being seen
+	seen, added    float64       // of the counter's total for this second: what others added, and this gateway
+	fresh, adding  float64       // spent here: not added yet, and in a call under way
+	answered, next time.Duration // last answer; no call before next
+	backoff        time.Duration
+	open, told     int     // attempts out, and how many of them the counter has in this second
+	elsewhere      float64 // attempts out at other gateways, last seen at heard (0: not known)
+	usual          float64 // and on average
+	heard          time.Duration
+	calling        bool // with units
+	telling        bool // of attempts out
+	queued         bool // in due
+}
+
+// call is a counter call under way.
+type call struct {
+	c      *customer
+	amount float64
+	second int64
+	open   bool // about attempts out, not units
+}
+
+// server is what a gateway knows of one.
+type server struct {
+	ServerEntry
+	open              int           // own attempts out
+	waiting           time.Duration // since when an answer is due
+	others, load      float64       // in work for other gateways, and use of its processors: by the reports of
+	counted, reported time.Duration
+	slowness          float64 // latency in a place in line, relative to the fleet
+	fails, outs       int     // failures and ejections in a row
+	failing           float64 // recent share of failures
+	outUntil          time.Duration
+	trial, cold       bool // back from an ejection and not yet heard well of; started at coldAt
+	coldAt            time.Duration
+	sent              float64 // attempts lately, decayed over OverloadTime
+	sentAt            time.Duration
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	server *server
+	sent   time.Duration
+	place  float64 // in line at its server
+	open   bool
+}
+
+// request is a row of the table of requests.
+type request struct {
+	id                RequestID
+	class             ClassID
+	customer          *customer
+	units             float64
+	arrived, deadline time.Duration
+	attempts          []attempt
+	ran               bool // some attempt may have run; the first of them where and when:
+	ranAt             *server
+	ranSent           time.Duration
+	ended, streaming  bool
+}
+
+// latency is what attempts of a class take, in seconds, and how far they stray from it.
+type latency struct{ mean, dev float64 }
+
+var errSettings = errors.New("choice: bad settings")
+
+// check finds settings that no deployment can mean.
+func check(set Settings) error {
+	if len(set.Classes) == 0 {
+		return fmt.Errorf("%w: no classes", errSettings)
+	}
+	for i, c := range set.Classes {
+		if anyBad(c.Worth, c.LateShare, float64(c.Aim), float64(c.Deadline), float64(c.KeyTTL)) {
+			return fmt.Errorf("%w: class %d: a negative figure", errSettings, i)
+		}
+	}
+	for i, p := range set.Plans {
+		if anyBad(p.Rate, p.Burst, p.Price, p.CeilingRate, p.CeilingBurst, p.CeilingSlack, float64(p.Open)) {
+			return fmt.Errorf("%w: plan %d: a negative figure", errSettings, i)
+		}
+	}
+	return nil
+}
+
+// anyBad tells whether one of xs is negative, infinite or not a number.
+func anyBad(xs ...float64) bool {
+	return slices.ContainsFunc(xs, func(x float64) bool { return !(x >= 0) || math.IsInf(x, 0) })
+}
