--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,7 +41,7 @@
 	unitsUsed   = "."                    // the two kinds of counter names
 	attemptsOut = "/"
 	othersLag   = time.Second      // smoothing of the use seen from other gateways
-	otherZone   = 1.05             // factor on the expected wait in another zone
+	otherZone   = 1.005            // factor on the expected wait in another zone
 	triedBefore = 100.0            // the same at a server that the request has tried
 	choices     = 3                // servers compared for one attempt
 	failsToOut  = 3                // failures in a row that eject a server
