--- a/choice/choice.go
+++ b/choice/choice.go
@@ -266,7 +266,7 @@
 		kp := math.Sqrt(3) / (2 * margin * pmax)
 		l.f = min(1, max(leastAdmit, l.f+kp*(e-l.err+ki*t*e)))
 		l.err, l.work, l.asked = e, 0, l.asked*keep
-		left = max(0, left-own)
+		left -= own
 	}
 }
 
