Sensor: other gateways' lines are believed for 0.3 s

Cause: a gateway that refuses hears no answers, so it went on believing the line it last heard of, learned its places as slow and starved beside a peer with 76 attempts out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,7 +24,7 @@
 	badWeight   = 0.5                    // U for each share of bad attempts
 	forget      = 0.7                    // weight that outcomes keep for the next period
 	justBelow   = 0.95                   // set point, as a share of the load where servers refuse
-	linger      = time.Second            // how fast what others have in work is forgotten without news
+	linger      = 300 * time.Millisecond // how fast what others have in work is forgotten without news
 	mostOver    = 1.3                    // U is read up to this: a jam is not more urgent for being long
 	slowest     = 0.35                   // expected latency, as a share of the aim, that counts as full load
 	tooSlow     = 0.6                    // the same at which an attempt is not begun
