Sensor: the lines of other gateways are half guessed, half reported

Reports are late and heard at other times by each gateway, so those that refuse and those that admit drew apart.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -168,13 +168,15 @@
 	return g.sensor.took / g.sensor.places * (g.busy(s) + 1) * s.slowness / g.warmth(s)
 }
 
-// busy is the number of attempts in work at s from all gateways; from this one's share where reports do not
-// tell.
+// busy is the number of attempts in work at s from all gateways. The others' are taken as like this one's and, where
+// fresh reports tell of them, halfway from there to the report: it is late, and each gateway hears it at other times.
 func (g *Gateway) busy(s *server) float64 {
+	others := float64(s.open * (g.set.Gateways - 1))
 	if s.counted > 0 && g.now-s.counted < reportLife {
-		return float64(s.open) + s.others*math.Exp(-(g.now-s.counted).Seconds()/linger.Seconds())
+		told := s.others * math.Exp(-(g.now-s.counted).Seconds()/linger.Seconds())
+		others += (told - others) / 2
 	}
-	return float64(s.open * g.set.Gateways)
+	return float64(s.open) + others
 }
 
 // watch samples the lines at the servers once a tick. The worst are left out: overload shows on all.
