--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,8 +26,8 @@
 	justBelow   = 0.95                   // set point, as a share of the load where servers refuse
 	linger      = 300 * time.Millisecond // how fast what others have in work is forgotten without news
 	mostOver    = 1.3                    // U is read up to this: a jam is not more urgent for being long
-	slowest     = 0.35                   // expected latency, as a share of the aim, that counts as full load
-	tooSlow     = 0.6                    // the same at which an attempt is not begun
+	slowest     = 0.5                    // expected latency, as a share of the aim, that counts as full load
+	tooSlow     = 0.8                    // the same at which an attempt is not begun
 	leastKnee   = 0.97                   // lowest share of full use that is learned as the knee
 	kneeMost    = 1.05                   // where it starts: reported use alone cuts nobody
 	kneeStep    = 1.02                   // factor by which it moves in a period
