--- a/choice/choice.go
+++ b/choice/choice.go
@@ -255,7 +255,6 @@
 		total += l.work
 	}
 	keep := math.Exp(-t / offeredOver.Seconds())
-	g.sensor.granted = g.sensor.granted*keep + total
 	left := justBelow
 	for i := range g.loops {
 		l := &g.loops[i]
@@ -264,10 +263,10 @@
 			own = u * l.work / total
 		}
 		e := left - own
-		pmax := justBelow * max(l.asked, g.sensor.granted/20) / max(g.sensor.granted, 1e-9)
+		pmax := justBelow * max(l.asked, total/20) / max(total, 1e-9)
 		kp := math.Sqrt(3) / (2 * margin * pmax)
 		l.f = min(1, max(leastAdmit, l.f+kp*(e-l.err+ki*t*e)))
-		l.err, l.work, l.asked = e, 0, l.asked*keep
+		l.err, l.work, l.asked = e, l.work*keep, l.asked*keep
 		left -= own
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -36,7 +36,6 @@
 	sampled      time.Duration
 	took, places float64 // recent latencies, and the places in line that they were spent in
 	usual, aim   float64 // recent latency and mean aim over all classes, seconds
-	granted      float64 // work admitted over all classes, smoothed like loop.asked
 	queue, ticks float64 // wait to expect as a share of the aim, summed over the ticks of this period
 	done, bad    float64 // recent ends of attempts; of these refused as full, timed out or slower than their aim
 }
@@ -45,8 +44,8 @@
 type loop struct {
 	f     float64
 	err   float64 // last control error
-	work  float64 // admitted in this period, in seconds of service
-	asked float64 // asked for, smoothed over offeredOver
+	work  float64 // admitted lately, in seconds of service
+	asked float64 // asked for lately
 }
 
 // customer is what a gateway knows of one.
