--- a/choice/choice.go
+++ b/choice/choice.go
@@ -74,12 +74,12 @@
 	set.Plans = append(slices.Clone(set.Plans), Plan{Price: 1}) // for plans that were not described
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: now, budget: retryBurst,
 		customers: map[string]*customer{}, calls: map[string]call{}, servers: map[ServerID]*server{},
-		requests: map[RequestID]*request{}, sensor: sensor{knee: kneeMost, sampled: now}}
+		requests: map[RequestID]*request{}, sensor: sensor{knee: kneeMost, sampled: now, places: 1}}
 	for _, c := range set.Classes {
 		g.sensor.aim += max(c.Aim, tick).Seconds() / float64(len(set.Classes))
 		g.latency = append(g.latency, latency{mean: c.Aim.Seconds() / 6, dev: c.Aim.Seconds() / 12})
 	}
-	g.sensor.took = g.sensor.aim / 6
+	g.sensor.took, g.sensor.usual = g.sensor.aim/8, g.sensor.aim/6
 	g.rankClasses()
 	g.subscribe = set.Subscribe
 	g.tick()
@@ -161,16 +161,11 @@
 	}
 }
 
-// expect is the latency to expect of a new attempt at s, in seconds: a line through recent latencies over what was
-// in work, for a server that is as slow as s. It rises with the line at once, long before slow answers come back,
-// and does not rest on reports: a server that fails fast, or whose report froze, does not read as room.
-func (g *Gateway) expect(s *server) float64 { return g.usually(g.busy(s)) * s.slowness / g.warmth(s) }
-
-func (g *Gateway) usually(busy float64) float64 {
-	m := &g.sensor
-	slope := max(0, (m.product-m.took*m.busy)/(m.square-m.busy*m.busy+1))
-	slope = min(slope, m.took/(1+m.busy))
-	return m.took + slope*(busy-m.busy)
+// expect is the latency to expect of a new attempt at s, in seconds: its place in line times what a place
+// takes. It rises with the line at once, long before slow answers come back, and does not depend on reports:
+// a server that fails fast, or whose report froze, does not read as room.
+func (g *Gateway) expect(s *server) float64 {
+	return g.sensor.took / g.sensor.places * (g.busy(s) + 1) * s.slowness / g.warmth(s)
 }
 
 // busy is the number of attempts in work at s from all gateways. The others' are taken as like this one's and, where
@@ -562,7 +557,7 @@
 // suspect tells that a server leaves attempts unanswered for much longer than usual: hung, stalled or
 // vanished.
 func (g *Gateway) suspect(s *server) bool {
-	return s.open > 0 && (g.now-s.waiting).Seconds() > stallTimes*g.sensor.took*max(1, s.slowness)
+	return s.open > 0 && (g.now-s.waiting).Seconds() > stallTimes*g.sensor.usual*max(1, s.slowness)
 }
 
 // choose picks a server for the next attempt of r, or nil: the one with the least wait of a few. Suspected
@@ -700,7 +695,7 @@
 	if len(r.attempts) == 0 {
 		g.spend(r.customer, r.units)
 	}
-	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, busy: g.busy(s), open: true})
+	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: g.busy(s) + 1, open: true})
 	r.customer.open++
 	g.tell(r.customer)
 	if s.open == 0 {
@@ -767,14 +762,13 @@
 	}
 }
 
-// learn takes a latency into what to expect, and into how slow the server is beside the others.
+// learn takes a latency into what a place in line takes, and into how slow the server is beside the others.
 func (g *Gateway) learn(s *server, a *attempt, took float64) {
 	m := &g.sensor
-	s.slowness += (min(10, took/g.usually(a.busy)) - s.slowness) * 2 * smoothing
-	m.took += (took - m.took) * smoothing
-	m.busy += (a.busy - m.busy) * smoothing
-	m.square += (a.busy*a.busy - m.square) * smoothing
-	m.product += (took*a.busy - m.product) * smoothing
+	s.slowness += (min(10, took*m.places/(m.took*a.place)) - s.slowness) * 2 * smoothing
+	m.usual += (took - m.usual) * smoothing
+	m.took += (took - m.took) * smoothing / 2
+	m.places += (a.place - m.places) * smoothing / 2
 }
 
 // mayRetry tells whether a further attempt is harmless, affordable and of use.
--- a/choice/state.go
+++ b/choice/state.go
@@ -32,12 +32,12 @@
 
 // sensor is what the load of the back end is read from.
 type sensor struct {
-	knee                        float64 // reported use of processors at which answers are seen to slow
-	sampled                     time.Duration
-	took, busy, square, product float64 // recent means: latency, work at its start, its square, and times latency
-	aim                         float64 // mean over all classes, seconds
-	queue, ticks                float64 // wait to expect as a share of the aim, summed over the ticks of this period
-	done, bad                   float64 // recent ends of attempts; of these refused as full, timed out or slower than their aim
+	knee         float64 // reported use of processors at which answers are seen to slow
+	sampled      time.Duration
+	took, places float64 // recent latencies, and the places in line that they were spent in
+	usual, aim   float64 // recent latency and mean aim over all classes, seconds
+	queue, ticks float64 // wait to expect as a share of the aim, summed over the ticks of this period
+	done, bad    float64 // recent ends of attempts; of these refused as full, timed out or slower than their aim
 }
 
 // loop is the control of one priority class.
@@ -100,7 +100,7 @@
 type attempt struct {
 	server *server
 	sent   time.Duration
-	busy   float64 // what was in work at its server
+	place  float64 // in line at its server
 	open   bool
 }
 
