--- a/choice/choice.go
+++ b/choice/choice.go
@@ -193,13 +193,14 @@
 	g.sensor.ticks++
 }
 
-// estimate gives U, where 1 is the load at which servers refuse or are too slow. It is the larger of the use
-// that they report, as a share of its knee, and of the line seen at them.
+// estimate gives U, where 1 is the load at which servers refuse or are too slow: halfway between the line seen at
+// them and the use they report, as a share of its knee, or the line alone where reports are missing or stale. What
+// is refused, timed out or late counts whatever they say; false reports at worst double the line that is allowed.
 func (g *Gateway) estimate() float64 {
 	s := &g.sensor
 	queue := s.queue / max(1, s.ticks) / slowest
 	s.queue, s.ticks = 0, 0
-	u := max(queue, badWeight*s.bad/(s.done+1))
+	bad := badWeight * s.bad / (s.done + 1)
 	s.done, s.bad = s.done*forget, s.bad*forget
 	sum, n := 0.0, 0.0
 	for _, v := range g.list {
@@ -208,14 +209,14 @@
 		}
 	}
 	if n*2 < float64(len(g.list)) || n == 0 {
-		return u
+		return max(queue, bad)
 	}
-	if u > 1 {
+	if max(queue, bad) > 1 {
 		s.knee = max(s.knee/kneeStep, leastKnee)
 	} else if sum/n > justBelow*s.knee {
 		s.knee = min(s.knee*kneeStep, kneeMost)
 	}
-	return max(u, sum/n/s.knee)
+	return max((queue+sum/n/s.knee)/2, bad)
 }
 
 // 2. Loops: the fraction of customers admitted, by priority class.
