--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,6 +33,7 @@
 	kneeStep    = 1.02                   // factor by which it moves in a period
 	probeDear   = 0.05                   // price of a probe a request above which none is sent
 	reportLife  = 4 * time.Second        // a load report older than this is stale
+	inDoubt     = 0.25                   // share of a burst kept back while others may use it unseen
 	addEvery    = 250 * time.Millisecond // interval of counter adds near a quota
 	addAtLeast  = time.Second            // interval far from it
 	addCalm     = 0.25                   // far: new use over all gateways below this share of what is unspent
@@ -386,11 +387,16 @@
 	}
 }
 
-// within tells whether a try is inside the quota, as far as this gateway can know.
+// within tells whether a try is inside the quota, as far as this gateway can know. While the counter tells of use
+// elsewhere, some of the burst is kept back for what has not been told yet; a split already holds back the rest.
 func (g *Gateway) within(c *customer, units float64, class ClassID) bool {
 	p := c.plan
-	if p.Rate > 0 && c.level < units || p.Open == 0 {
-		return p.Rate == 0 || c.level >= units
+	doubt := 0.0
+	if c.whole && c.others > 0 {
+		doubt = inDoubt * p.Burst
+	}
+	if p.Rate > 0 && c.level < units+doubt || p.Open == 0 {
+		return p.Rate == 0 || c.level >= units+doubt
 	}
 	if c.heard == 0 {
 		return float64(c.open) < float64(p.Open)/c.spread
