--- a/choice/choice.go
+++ b/choice/choice.go
@@ -172,7 +172,7 @@
 // busy is the number of attempts in work at s from all gateways. The others' are taken as like this one's and, where
 // fresh reports tell of them, halfway from there to the report: it is late, and each gateway hears it at other times.
 func (g *Gateway) busy(s *server) float64 {
-	others := g.sensor.open * float64(g.set.Gateways-1)
+	others := float64(s.open * (g.set.Gateways - 1))
 	if s.counted > 0 && g.now-s.counted < reportLife {
 		told := s.others * math.Exp(-(g.now-s.counted).Seconds()/linger.Seconds())
 		others += (told - others) / 2
@@ -183,10 +183,6 @@
 // watch samples the lines at the servers once a tick. The worst are left out: overload shows on all.
 func (g *Gateway) watch() {
 	var waits []float64
-	g.sensor.open = 0
-	for _, s := range g.list {
-		g.sensor.open += float64(s.open) / float64(len(g.list))
-	}
 	for _, s := range g.list {
 		waits = append(waits, g.expect(s)/g.sensor.aim)
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -32,7 +32,6 @@
 
 // sensor is what the load of the back end is read from.
 type sensor struct {
-	open         float64 // mean own attempts at a server
 	knee         float64 // reported use of processors at which answers are seen to slow
 	sampled      time.Duration
 	took, places float64 // recent latencies, and the places in line that they were spent in
