--- a/choice/choice.go
+++ b/choice/choice.go
@@ -72,6 +72,7 @@
 		set.ColdShare = 1 // no cold start is described
 	}
 	set.MaxAttempts, set.Gateways = max(1, set.MaxAttempts), max(1, set.Gateways)
+	set.MostUnits = max(1, set.MostUnits)
 	set.Plans = append(slices.Clone(set.Plans), Plan{Price: 1}) // for plans that were not described
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: now, budget: retryBurst,
 		customers: map[string]*customer{}, calls: map[string]call{}, servers: map[ServerID]*server{},
@@ -284,16 +285,16 @@
 // planIndex is the plan of a request; the last, without limits, is for those that were not described.
 func (g *Gateway) planIndex(p PlanID) int { return int(min(uint(p), uint(len(g.set.Plans)-1))) }
 
-// customer finds or makes the record. A new one, which may have spent elsewhere, gets the split of its
-// burst, and of a ceiling no more than the slack and what has filled since: it may have been drawn on until
-// a moment ago.
+// customer finds or makes the record. A new one, which may have spent elsewhere, gets the split of its burst, and of a
+// ceiling no more than the slack and what has filled since: it may have been drawn on until a moment ago. A split
+// holds a largest request at least: among many gateways it would otherwise admit nothing, and so never hear.
 func (g *Gateway) customer(e Arrived) *customer {
 	c := g.customers[e.Customer]
 	if c == nil {
 		c = &customer{id: e.Customer, hash: hash(e.Customer), at: g.now}
 		c.plan = &g.set.Plans[g.planIndex(e.Plan)]
 		c.spread = float64(min(max(1, e.Spread), g.set.Gateways))
-		c.level, c.ceiling = c.plan.Burst/c.spread, c.plan.CeilingSlack/c.spread
+		c.level, c.ceiling = g.split(c), c.plan.CeilingSlack/c.spread
 		g.customers[e.Customer] = c
 		g.roll = append(g.roll, c)
 	}
@@ -302,6 +303,8 @@
 	return c
 }
 
+func (g *Gateway) split(c *customer) float64 { return max(c.plan.Burst/c.spread, g.set.MostUnits) }
+
 func second(t time.Duration) int64 { return int64(t / time.Second) }
 
 // call adds to a number of a customer and second.
@@ -354,11 +357,11 @@
 // for ever.
 func (g *Gateway) settle(c *customer) {
 	dt, p := (g.now - c.at).Seconds(), c.plan
-	share, taken := 1/c.spread, 0.0
+	share, taken, most := 1/c.spread, 0.0, g.split(c)
 	if c.whole {
-		share, taken = 1, c.others*dt
+		share, taken, most = 1, c.others*dt, p.Burst
 	}
-	c.level = min(p.Burst*share, max(0, c.level+p.Rate*share*dt-taken))
+	c.level = min(most, max(0, c.level+p.Rate*share*dt-taken))
 	c.ceiling = min(p.CeilingBurst*share, c.ceiling+p.CeilingRate*share*dt-taken)
 	if second(g.now) != second(c.at) {
 		c.guessed, c.added, c.seen, c.told = 0, 0, 0, 0
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -319,6 +319,7 @@
 		{"refusing counter: the split", choice.Plan{Rate: 10, Burst: 20, Price: 1}, 2, refusing, 55, 61},
 		{"alone at the counter: the whole", choice.Plan{Rate: 10, Burst: 20, Price: 1}, 2, alone(), 100, 121},
 		{"others use the same: half", choice.Plan{Rate: 10, Burst: 20, Price: 1}, 2, twice(), 40, 75},
+		{"a burst smaller than the split: still a request", choice.Plan{Rate: 1, Burst: 4, Price: 1}, 11, alone(), 6, 14},
 		{"soft plan: the loops decide", choice.Plan{Rate: 10, Burst: 20, Price: 1, OverWorth: 0.5}, 1, nil, 350, 400},
 		{"ceiling, silent counter: the slack and its split",
 			choice.Plan{Rate: 100, Burst: 100, Price: 1, CeilingRate: 10, CeilingBurst: 20, CeilingSlack: 4}, 2, silent, 40, 52},
@@ -326,7 +327,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			set := basic()
-			set.Gateways = 3
+			set.Gateways = 11
 			set.Plans = []choice.Plan{c.plan}
 			b := start(t, set, 0, up(1, 2, 3, 4, 5, 6)...)
 			sent, seen := 0, 0
