--- a/choice/choice.go
+++ b/choice/choice.go
@@ -294,7 +294,7 @@
 		c = &customer{id: e.Customer, hash: hash(e.Customer), at: g.now}
 		c.plan = &g.set.Plans[g.planIndex(e.Plan)]
 		c.spread = float64(min(max(1, e.Spread), g.set.Gateways))
-		c.level, c.ceiling = g.split(c), c.plan.CeilingSlack/c.spread
+		c.level, c.ceiling = max(c.plan.Burst/c.spread, 1), c.plan.CeilingSlack/c.spread
 		g.customers[e.Customer] = c
 		g.roll = append(g.roll, c)
 	}
