--- a/choice/choice.go
+++ b/choice/choice.go
@@ -170,8 +170,9 @@
 	return g.sensor.took / g.sensor.places * (g.busy(s) + 1) * s.slowness / g.warmth(s)
 }
 
-// busy is the number of attempts in work at s from all gateways. The others' are taken as like this one's and, where
-// fresh reports tell of them, halfway from there to the report: it is late, and each gateway hears it at other times.
+// busy is the number of attempts in work at s from all gateways. The others' are taken as like this one's
+// and, where fresh reports tell of them, halfway from there to the report: it is late, and each gateway
+// hears it at other times.
 func (g *Gateway) busy(s *server) float64 {
 	others := float64(s.open * (g.set.Gateways - 1))
 	if s.counted > 0 && g.now-s.counted < reportLife {
@@ -195,9 +196,10 @@
 	g.sensor.ticks++
 }
 
-// estimate gives U, where 1 is the load at which servers refuse or are too slow: halfway between the line seen at
-// them and the use they report, as a share of its knee, or the line alone where reports are missing or stale. What
-// is refused, timed out or late counts whatever they say; false reports at worst double the line that is allowed.
+// estimate gives U, where 1 is the load at which servers refuse or are too slow: halfway between the line
+// seen at them and the use they report, as a share of its knee, or the line alone where reports are missing
+// or stale. What is refused, timed out or late counts whatever they say; false reports at worst double the
+// line that is allowed.
 func (g *Gateway) estimate() float64 {
 	s := &g.sensor
 	queue := s.queue / max(1, s.ticks) / slowest
@@ -285,9 +287,10 @@
 // planIndex is the plan of a request; the last, without limits, is for those that were not described.
 func (g *Gateway) planIndex(p PlanID) int { return int(min(uint(p), uint(len(g.set.Plans)-1))) }
 
-// customer finds or makes the record. A new one, which may have spent elsewhere, gets the split of its burst, and of a
-// ceiling no more than the slack and what has filled since: it may have been drawn on until a moment ago. A split
-// holds a largest request at least: among many gateways it would otherwise admit nothing, and so never hear.
+// customer finds or makes the record. A new one, which may have spent elsewhere, gets the split of its
+// burst, and of a ceiling no more than the slack and what has filled since: it may have been drawn on until
+// a moment ago. A split holds a largest request at least: among many gateways it would otherwise admit
+// nothing, and so never hear.
 func (g *Gateway) customer(e Arrived) *customer {
 	c := g.customers[e.Customer]
 	if c == nil {
@@ -390,8 +393,9 @@
 	}
 }
 
-// within tells whether a try is inside the quota, as far as this gateway can know. While the counter tells of use
-// elsewhere, some of the burst is kept back for what has not been told yet; a split already holds back the rest.
+// within tells whether a try is inside the quota, as far as this gateway can know. While the counter tells
+// of use elsewhere, some of the burst is kept back for what has not been told yet; a split already holds
+// back the rest.
 func (g *Gateway) within(c *customer, units float64, class ClassID) bool {
 	p := c.plan
 	doubt := 0.0
--- a/choice/state.go
+++ b/choice/state.go
@@ -37,7 +37,7 @@
 	took, places float64 // recent latencies, and the places in line that they were spent in
 	usual, aim   float64 // recent latency and mean aim over all classes, seconds
 	queue, ticks float64 // wait to expect as a share of the aim, summed over the ticks of this period
-	done, bad    float64 // recent ends of attempts; of these refused as full, timed out or slower than their aim
+	done, bad    float64 // recent ends of attempts; of these full, timed out or late
 }
 
 // loop is the control of one priority class.
@@ -54,11 +54,11 @@
 	hash, spread   float64
 	plan           *Plan
 	used, at       time.Duration // last asked for, and settled
-	whole          bool          // the levels are of the whole stores, as the counter tells; else of this split
+	whole          bool          // levels are of the whole stores; else of the split
 	level, ceiling float64       // what is unspent of the quota and the ceiling
 	others         float64       // use at other gateways, units a second
 	guessed        float64       // of that, taken from the levels in this second without being seen
-	seen, added    float64       // of the counter's total for this second: what others added, and this gateway
+	seen, added    float64       // to this second of the counter by others, and here
 	fresh, adding  float64       // spent here: not added yet, and in a call under way
 	answered, next time.Duration // last answer; no call before next
 	backoff        time.Duration
@@ -84,7 +84,7 @@
 	ServerEntry
 	open              int           // own attempts out
 	waiting           time.Duration // since when an answer is due
-	others, load      float64       // in work for other gateways, and use of its processors: by the reports of
+	others, load      float64       // others in work, and use, as reported at
 	counted, reported time.Duration
 	slowness          float64 // latency in a place in line, relative to the fleet
 	fails, outs       int     // failures and ejections in a row
