--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -219,6 +219,54 @@
 	}
 }
 
+// A begun stream belongs to the client: no deadline ends it, and no further attempt replaces it.
+func TestStreamHasNoDeadline(t *testing.T) {
+	set := basic()
+	set.Classes[0].Stream = true
+	b := start(t, set, 0, up(1, 2)...)
+	id, s, _ := b.ask("a", 0, 1)
+	b.tell(choice.StreamStarted{Request: id, Server: s})
+	b.did = nil
+	b.wait(10 * time.Second)
+	b.answer(id, s, choice.Reset)
+	if n := count[choice.Send](b.did) + count[choice.Cancel](b.did); n != 0 {
+		t.Errorf("%d sends and cancels for a begun stream", n)
+	}
+	if n := count[choice.Fail](b.did) + count[choice.Refuse](b.did); n != 1 {
+		t.Errorf("%d answers after it broke unsettled, want 1", n)
+	}
+}
+
+func TestNoCancelWhereForbidden(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		set := basic()
+		set.Cancel = allowed
+		b := start(t, set, 0, up(1)...)
+		id, _, _ := b.ask("a", 0, 1)
+		if n := count[choice.Cancel](b.tell(choice.ClientLeft{Request: id})); (n == 1) != allowed {
+			t.Errorf("allowed %v: %d cancels", allowed, n)
+		}
+	}
+}
+
+// A gateway that starts, perhaps again, does not know what its customers have drawn: of a ceiling it has the slack.
+func TestCeilingAfterRestart(t *testing.T) {
+	set := basic()
+	set.Gateways = 2
+	set.Plans = []choice.Plan{{Rate: 100, Burst: 100, Price: 1, CeilingRate: 10, CeilingBurst: 50, CeilingSlack: 6}}
+	b := start(t, set, time.Hour, up(1, 2, 3)...)
+	sent := 0
+	for range 30 {
+		if id, s, ok := b.ask("a", 0, 2); ok {
+			sent++
+			b.answer(id, s, choice.OK)
+		}
+	}
+	if sent != 3 {
+		t.Errorf("%d sent on at once, want the split of the slack", sent)
+	}
+}
+
 // load keeps a rate of requests of one class on servers that each behave in their own way, and counts what each got.
 func load(b *bench, class choice.ClassID, n int, gap time.Duration,
 	behave func(s choice.ServerID) (time.Duration, choice.Outcome)) map[choice.ServerID]int {
