--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,52 +15,55 @@
 
 // Tuned constants. Those that the design leaves open were set by measurement; docs/design.md has the record.
 const (
-	tick        = 50 * time.Millisecond  // housekeeping; well under any aim
-	period      = 300 * time.Millisecond // T of the loops: several service times, few per trouble
-	margin      = 30.0                   // G, gain margin of the loops
-	offeredOver = 2 * time.Second        // smoothing of the work asked for and granted
-	leastAdmit  = 0.01                   // least f: a trickle that keeps the sensor alive
-	worstPart   = 0.25                   // share of servers, the slowest, that do not tell of overload
-	badWeight   = 0.5                    // U for each share of bad attempts
-	forget      = 0.7                    // weight that outcomes keep for the next period
-	justBelow   = 0.95                   // set point, as a share of the load where servers refuse
-	linger      = 300 * time.Millisecond // how fast what others have in work is forgotten without news
-	mostOver    = 1.3                    // U is read up to this: a jam is not more urgent for being long
-	slowest     = 0.5                    // expected latency, as a share of the aim, that counts as full load
-	tooSlow     = 0.8                    // the same at which an attempt is not begun
-	leastKnee   = 0.97                   // lowest share of full use that is learned as the knee
-	kneeMost    = 1.05                   // where it starts: reported use alone cuts nobody
-	kneeStep    = 1.02                   // factor by which it moves in a period
-	probeDear   = 0.05                   // price of a probe a request above which none is sent
-	reportLife  = 4 * time.Second        // a load report older than this is stale
-	inDoubt     = 0.25                   // share of a burst kept back while others may use it unseen
-	addEvery    = 250 * time.Millisecond // interval of counter adds near a quota
-	addAtLeast  = time.Second            // interval far from it
-	addCalm     = 0.25                   // far: new use over all gateways below this share of what is unspent
-	addBackoff  = 2 * time.Second        // longest wait after failed adds
-	openWeight  = 0.1                    // weight of a new count of attempts out elsewhere
-	unitsUsed   = "."                    // the two kinds of counter names
-	attemptsOut = "/"
-	othersLag   = time.Second      // smoothing of the use seen from other gateways
-	otherZone   = 1.005            // factor on the expected wait in another zone
-	triedBefore = 100.0            // the same at a server that the request has tried
-	choices     = 3                // servers compared for one attempt
-	failsToOut  = 3                // failures in a row that eject a server
-	failWeight  = 0.1              // weight of a new outcome in a server's share of failures
-	failShare   = 0.5              // or this share of its recent attempts
-	outFirst    = 2 * time.Second  // first ejection; doubles up to outMost
-	outMost     = 16 * time.Second // long enough to cost little, short enough to come back
-	mostOut     = 0.4              // share of the list that may be avoided as unhealthy
-	stallTimes  = 4.0              // silence, in usual latencies, after which a server is suspected
-	coldSpread  = 2.0              // a cold server gets at most this multiple of its weight's share
-	retryShare  = 0.2              // further attempts per first attempt
-	retryBurst  = 20.0             // further attempts at once
-	patience    = 8.0              // deviations above the mean latency that an attempt may take
-	smoothing   = 0.05             // weight of a new latency
-	nameLife    = 3 * time.Second  // life of a counter name: its second and a slow call
-	sweepAtOnce = 20               // customers looked at in a tick
-	customerTTL = 60 * time.Second // a customer idle for this long is forgotten
-	leftover    = 30 * time.Second // an attempt never heard of is forgotten this long after its end
+	tick           = 50 * time.Millisecond  // housekeeping; well under any aim
+	period         = 300 * time.Millisecond // T of the loops: several service times, few per trouble
+	margin         = 30.0                   // G, gain margin of the loops
+	offeredOver    = 2 * time.Second        // smoothing of the work asked for and granted
+	leastAdmit     = 0.01                   // least f: a trickle that keeps the sensor alive
+	justBelow      = 0.95                   // set point, as a share of the load where servers refuse
+	mostOver       = 1.3                    // U is read up to this: a jam is not more urgent for being long
+	slowest        = 0.5                    // expected wait, as a share of the aim, that counts as full load
+	tooSlow        = 0.8                    // the same at which an attempt is not begun
+	fullUse        = 1.0                    // reported use of processors that counts as full load
+	mostBad        = 0.35                   // share of bad attempts that counts as full load
+	window         = time.Second            // of the averages of the sensor
+	fewest         = 12.0                   // events that they hold at least: fewer are noise
+	slower         = 4.0                    // multiple of that for what a place in line takes
+	firstShare     = 0.15                   // first guess of a latency, as a share of the aim
+	mostUse        = 1.2                    // reports above these are taken as these
+	mostLine       = 1000.0                 //
+	probeDear      = 0.05                   // price of a probe a request above which none is sent
+	reportLife     = 4 * time.Second        // without reports for this long there are none
+	linger         = 2 * time.Second        // how fast one server's report fades to the pool
+	inDoubt        = 0.25                   // share of a burst kept back while others may use it unseen
+	addEvery       = 250 * time.Millisecond // interval of counter adds near a quota
+	addAtLeast     = time.Second            // interval far from it
+	addCalm        = 0.25                   // far: new use over all gateways below this share of what is unspent
+	addBackoff     = 2 * time.Second        // longest wait after failed adds
+	openWeight     = 0.1                    // weight of a new count of attempts out elsewhere
+	unitsUsed      = "."                    // the two kinds of counter names
+	attemptsOut    = "/"
+	othersLag      = time.Second      // smoothing of the use seen from other gateways
+	otherZone      = 1.005            // factor on the expected wait in another zone
+	choices        = 2                // servers compared for one attempt
+	mostDraws      = 24               // draws to find them
+	goodNews       = 0.5              // evidence against a server that an answer takes off, after halving it
+	convinced      = 1.2              // evidence that ejects: one failure where under 0.15 fail, more elsewhere
+	leastFailing   = 0.02             // failures anywhere are taken as this frequent at least
+	outFirst       = 2 * time.Second  // first ejection; doubles up to outMost
+	outMost        = 16 * time.Second // long enough to cost little, short enough to come back
+	mostOut        = 0.4              // share of the list that may be avoided as unhealthy
+	stallTimes     = 4.0              // silence, in usual latencies, after which a server is suspected
+	retryShare     = 0.2              // further attempts per first attempt
+	retryBurst     = 3.0              // further attempts at once
+	patience       = 8.0              // deviations above the mean latency that an attempt may take
+	smoothing      = 0.05             // weight of a new latency
+	mostSlow       = 10.0             // a server is taken to be slower by this at most
+	slownessWeight = 0.2              // weight of one latency in a server's slowness
+	nameLife       = 3 * time.Second  // life of a counter name: its second and a slow call
+	sweepAtOnce    = 20               // customers looked at in a tick
+	customerTTL    = 60 * time.Second // a customer idle for this long is forgotten
+	leftover       = 30 * time.Second // an attempt never heard of is forgotten this long after its end
 )
 
 // New makes a gateway. The actions are its first ones.
@@ -76,12 +79,14 @@
 	set.Plans = append(slices.Clone(set.Plans), Plan{Price: 1}) // for plans that were not described
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: now, budget: retryBurst,
 		customers: map[string]*customer{}, calls: map[string]call{}, servers: map[ServerID]*server{},
-		requests: map[RequestID]*request{}, sensor: sensor{knee: kneeMost, sampled: now, places: 1}}
+		requests: map[RequestID]*request{}}
 	for _, c := range set.Classes {
-		g.sensor.aim += max(c.Aim, tick).Seconds() / float64(len(set.Classes))
-		g.latency = append(g.latency, latency{mean: c.Aim.Seconds() / 6, dev: c.Aim.Seconds() / 12})
+		g.latency = append(g.latency, latency{mean: c.Aim.Seconds() * firstShare, dev: c.Aim.Seconds() * firstShare})
 	}
-	g.sensor.took, g.sensor.usual = g.sensor.aim/8, g.sensor.aim/6
+	few, many := average{least: fewest, at: now}, average{least: fewest * slower, at: now}
+	g.sensor = sensor{sampled: now, line: few, use: few, bad: few, failing: many, took: many, place: many}
+	g.sensor.took.value, g.sensor.took.weight = firstShare, 1
+	g.sensor.place.value, g.sensor.place.weight = 1, 1
 	g.rankClasses()
 	g.subscribe = set.Subscribe
 	g.tick()
@@ -127,7 +132,6 @@
 
 func (g *Gateway) tick() {
 	g.do(SetTimer{At: g.now + tick, Timer: Timer{Kind: TickTimer}})
-	g.watch()
 	g.addUse()
 	g.sweep()
 	if g.now-g.sensor.sampled < period {
@@ -147,7 +151,8 @@
 
 // 1. Sensor: how loaded the back end is.
 
-// report keeps a server's load. Figures that no server can have are not taken.
+// report takes in a server's load: for the pool, and for the server while the news is fresh. Figures that no
+// server can have are not taken.
 func (g *Gateway) report(s *server, load []float64) {
 	for i, f := range g.set.LoadFields {
 		if i >= len(load) || anyBad(load[i]) {
@@ -155,73 +160,53 @@
 		}
 		switch f {
 		case FieldUtil:
-			s.load, s.reported = min(load[i], 1.2), g.now
+			g.sensor.use.add(min(load[i], mostUse), g.now)
 		case FieldInFlight:
-			others := max(0, load[i]-float64(s.open))
-			s.others += (others - s.others) / 2
-			s.counted = g.now
+			line := min(load[i], mostLine)
+			if g.now >= s.outUntil {
+				g.sensor.line.add(line/g.warmth(s), g.now)
+			}
+			s.line, s.heard = line, g.now
 		}
 	}
 }
 
-// expect is the latency to expect of a new attempt at s, in seconds: its place in line times what a place
-// takes. It rises with the line at once, long before slow answers come back, and does not depend on reports:
-// a server that fails fast, or whose report froze, does not read as room.
-func (g *Gateway) expect(s *server) float64 {
-	return g.sensor.took / g.sensor.places * (g.busy(s) + 1) * s.slowness / g.warmth(s)
+// add takes a value in. Older ones fade with time, but never below what the fewest would weigh: where few
+// events come, the window is as long as it takes to see some.
+func (a *average) add(x float64, now time.Duration) {
+	keep := max(math.Exp(-(now-a.at).Seconds()/window.Seconds()), 1-1/a.least)
+	a.weight = a.weight*keep + 1
+	a.value += (x - a.value) / a.weight
+	a.at = now
 }
 
-// busy is the number of attempts in work at s from all gateways. The others' are taken as like this one's
-// and, where fresh reports tell of them, halfway from there to the report: it is late, and each gateway
-// hears it at other times.
-func (g *Gateway) busy(s *server) float64 {
-	others := float64(s.open * (g.set.Gateways - 1))
-	if s.counted > 0 && g.now-s.counted < reportLife {
-		told := s.others * math.Exp(-(g.now-s.counted).Seconds()/linger.Seconds())
-		others += (told - others) / 2
-	}
-	return float64(s.open) + others
+// wait is what to expect of a new attempt anywhere, as a share of its aim: what a place in line takes, times
+// the line that servers report. It rises with the line at once, long before slow answers come back. Without
+// reports it is what attempts took.
+func (g *Gateway) wait() float64 {
+	return g.sensor.took.value * (g.sensor.line.value + 1) / g.sensor.place.value
 }
 
-// watch samples the lines at the servers once a tick. The worst are left out: overload shows on all.
-func (g *Gateway) watch() {
-	var waits []float64
-	for _, s := range g.list {
-		waits = append(waits, g.expect(s)/g.sensor.aim)
-	}
-	slices.Sort(waits)
-	n := math.Ceil(float64(len(waits)) * (1 - worstPart))
-	for _, w := range waits[:int(n)] {
-		g.sensor.queue += w / n
+// expect is the same at one server: its own report counts while it is fresh, what this gateway has there, and
+// its slowness.
+func (g *Gateway) expect(s *server) float64 {
+	n := float64(g.set.Gateways)
+	line := g.sensor.line.value/g.warmth(s)*(n-1)/n + float64(s.open)
+	if s.heard > 0 {
+		line += (s.line - line) * math.Exp(-(g.now-s.heard).Seconds()/linger.Seconds())
 	}
-	g.sensor.ticks++
+	return g.sensor.took.value / g.sensor.place.value * (line + 1) * s.slowness
 }
 
-// estimate gives U, where 1 is the load at which servers refuse or are too slow: halfway between the line
-// seen at them and the use they report, as a share of its knee, or the line alone where reports are missing
-// or stale. What is refused, timed out or late counts whatever they say; false reports at worst double the
-// line that is allowed.
+// estimate gives U, where 1 is the load at which servers refuse or are too slow: halfway between the wait to
+// expect and the use that servers report, or the wait alone where none do. What is refused, timed out or
+// late counts whatever they say.
 func (g *Gateway) estimate() float64 {
-	s := &g.sensor
-	queue := s.queue / max(1, s.ticks) / slowest
-	s.queue, s.ticks = 0, 0
-	bad := badWeight * s.bad / (s.done + 1)
-	s.done, s.bad = s.done*forget, s.bad*forget
-	sum, n := 0.0, 0.0
-	for _, v := range g.list {
-		if v.reported > 0 && g.now-v.reported < reportLife && g.now >= v.outUntil {
-			sum, n = sum+v.load, n+1
-		}
-	}
-	if n*2 < float64(len(g.list)) || n == 0 {
-		return max(queue, bad)
+	u := g.wait() / slowest
+	if g.sensor.use.weight > 0 && g.now-g.sensor.use.at < reportLife {
+		u = (u + g.sensor.use.value/fullUse) / 2
 	}
-	if max(queue, bad) > 1 {
-		s.knee = max(s.knee/kneeStep, leastKnee)
-	} else if sum/n > justBelow*s.knee {
-		s.knee = min(s.knee*kneeStep, kneeMost)
-	}
-	return max((queue+sum/n/s.knee)/2, bad)
+	return max(u, g.sensor.bad.value/mostBad)
 }
 
 // 2. Loops: the fraction of customers admitted, by priority class.
@@ -545,7 +530,7 @@
 		}
 		if n.Started > s.Started && n.Started > 0 && n.Started+g.set.ColdTime > g.now {
 			s.cold, s.coldAt = true, n.Started
-			s.outUntil, s.fails, s.failing, s.trial = 0, 0, 0, false
+			s.outUntil, s.evidence, s.trial = 0, 0, false
 		}
 		s.ServerEntry = n
 		if n.State == Up && !slices.Contains(g.list, s) {
@@ -576,54 +561,47 @@
 // suspect tells that a server leaves attempts unanswered for much longer than usual: hung, stalled or
 // vanished.
 func (g *Gateway) suspect(s *server) bool {
-	return s.open > 0 && (g.now-s.waiting).Seconds() > stallTimes*g.sensor.usual*max(1, s.slowness)
+	return s.open > 0 && g.now > s.due
 }
 
-// choose picks a server for the next attempt of r, or nil: the one with the least wait of a few. Suspected
-// and ejected ones, and unsafe requests at one on trial, wait for better times unless hardly any other is
-// left.
+// choose picks a server for the next attempt of r, or nil: the one with the least wait of a few drawn at
+// random. A cold one is drawn as often as its warmth says, so that all gateways together give it its share
+// however many they are, and an empty line attracts nobody who has not drawn it. Suspected and ejected ones,
+// and unsafe requests at one on trial, wait for better times unless hardly any other is left.
 func (g *Gateway) choose(r *request) *server {
 	class := g.set.Classes[r.class]
-	var pool, doubtful []*server
-	total, warm := 0.0, 0.0
-	for _, s := range g.list {
-		s.sent *= math.Exp(-float64(g.now-s.sentAt) / float64(max(g.set.OverloadTime, tick)))
-		s.sentAt = g.now
-		total, warm = total+s.sent, warm+g.warmth(s)
-	}
-	for _, s := range g.list {
-		w := g.warmth(s)
-		switch {
-		case !inScope(r, class, s) || w < 1 && s.sent > coldSpread*w*total/warm:
-		case g.now < s.outUntil || g.suspect(s) || s.trial && (s.open > 0 || class.Repeat == Unsafe):
-			doubtful = append(doubtful, s)
-		default:
-			pool = append(pool, s)
-		}
-	}
-	if len(pool) == 0 || len(pool) < 2 && len(g.list) > 3 {
-		pool = append(pool, doubtful...)
-	}
-	var best *server
+	var best, spare *server
 	bestWait := math.Inf(1)
-	for i := range min(choices, len(pool)) {
-		j := i + g.rng.IntN(len(pool)-i)
-		pool[i], pool[j] = pool[j], pool[i]
-		s := pool[i]
+	for drawn, tries := 0, 0; drawn < choices && tries < mostDraws && len(g.list) > 0; tries++ {
+		s := g.list[g.rng.IntN(len(g.list))]
+		if g.rng.Float64() >= g.warmth(s) || !inScope(r, class, s) {
+			continue
+		}
+		if spare == nil || r.triedAt(spare) {
+			spare = s
+		}
+		if g.now < s.outUntil || r.triedAt(s) || g.suspect(s) || s.trial && (s.open > 0 || class.Repeat == Unsafe) {
+			continue
+		}
+		drawn++
 		wait := g.expect(s)
 		if s.Zone != g.set.Zone {
 			wait *= otherZone
 		}
-		if slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s }) {
-			wait *= triedBefore
-		}
 		if wait < bestWait {
 			best, bestWait = s, wait
 		}
 	}
+	if best == nil {
+		best = spare
+	}
 	return best
 }
 
+func (r *request) triedAt(s *server) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
+}
+
 // inScope tells whether a server discards repeats of what r may have run already.
 func inScope(r *request, class Class, s *server) bool {
 	if class.Repeat != Keyed || r.ranAt == nil || class.Scope == ScopeAll {
@@ -633,36 +611,35 @@
 		class.Scope == ScopeCell && s.Cell == r.ranAt.Cell
 }
 
-// judge takes an attempt's end into the health of its server. One that fails much more than the others is
-// left alone for a while and then tried with one attempt. When many fail alike the trouble is shared: none
-// is ejected.
+// judge takes an attempt's end into the health of its server: evidence that it has failed, against the rate
+// at which attempts fail anywhere. Where failures are rare, one is enough to leave it alone for a while; it
+// is then tried with one attempt. When many fail alike the trouble is shared and none is ejected.
 func (g *Gateway) judge(s *server, o Outcome) {
 	switch o {
 	case OK:
-		s.fails = 0
-		s.failing -= s.failing * failWeight
-		if s.trial {
-			s.trial, s.outs, s.failing = false, 0, 0
-		}
+		g.sensor.failing.add(0, g.now)
+		s.evidence = max(0, s.evidence/2-goodNews)
+		s.trial, s.outs = false, 0
 		return
 	case Error, TimedOut, ConnectFailed, Reset:
-		s.fails++
-		s.failing += (1 - s.failing) * failWeight
+		g.sensor.failing.add(1, g.now)
+		s.evidence += max(0, -math.Log(2*max(g.sensor.failing.value, leastFailing)))
 	default:
 		return
 	}
-	fleet, out, n := 0.0, 1.0, float64(len(g.list))
-	for _, v := range g.list {
-		fleet += v.failing / n
-		if v != s && g.now < v.outUntil {
-			out++
+	if (s.trial || s.evidence > convinced) && g.now >= s.outUntil {
+		out := 1.0
+		for _, v := range g.list {
+			if v != s && g.now < v.outUntil {
+				out++
+			}
+		}
+		if out <= mostOut*float64(len(g.list)) {
+			stay := min(outMost, outFirst<<min(s.outs, 4))
+			s.outUntil = g.now + stay/2 + time.Duration(g.rng.Float64()*float64(stay))
+			s.outs++
+			s.trial, s.evidence = true, 0
 		}
-	}
-	bad := s.trial || (s.fails >= failsToOut || s.failing > failShare) && s.failing > 2*fleet
-	if bad && g.now >= s.outUntil && out <= mostOut*n {
-		s.outUntil = g.now + min(outMost, outFirst<<min(s.outs, 4))
-		s.outs++
-		s.trial, s.fails = true, 0
 	}
 }
 
@@ -707,21 +684,24 @@
 func (g *Gateway) send(r *request) bool {
 	s := g.choose(r)
 	left := r.deadline - g.now
-	if s == nil || left <= 0 || g.expect(s) > tooSlow*g.set.Classes[r.class].Aim.Seconds() && !r.ran {
+	if s == nil || left <= 0 || g.expect(s) > tooSlow && !r.ran {
 		g.end(r, true)
 		return false
 	}
 	if len(r.attempts) == 0 {
 		g.spend(r.customer, r.units)
 	}
-	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: g.busy(s) + 1, open: true})
+	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: g.sensor.line.value + 1, open: true})
 	r.customer.open++
 	g.tell(r.customer)
+	if !slices.Contains(g.set.LoadFields, FieldInFlight) { // the line as this gateway's share of it tells
+		g.sensor.line.add(float64(g.open*g.set.Gateways)/float64(max(1, len(g.list))), g.now)
+	}
+	g.open++
 	if s.open == 0 {
-		s.waiting = g.now
+		s.due = g.now + g.overdue(r.class)
 	}
 	s.open++
-	s.sent++
 	g.do(Send{Request: r.id, Server: s.Server, Timeout: g.timeout(r, left)})
 	return true
 }
@@ -752,7 +732,7 @@
 	class := g.set.Classes[r.class]
 	took := (g.now - a.sent).Seconds()
 	if e.Outcome == OK || e.Outcome == TimedOut {
-		g.learn(s, a, took)
+		g.learn(s, a, took/max(class.Aim, tick).Seconds())
 	}
 	if l := &g.latency[r.class]; e.Outcome == OK {
 		l.dev += (math.Abs(took-l.mean) - l.dev) * smoothing
@@ -760,9 +740,12 @@
 	}
 	g.judge(s, e.Outcome)
 	if e.Outcome != Void && e.Outcome != Cancelled {
-		g.sensor.done++
-		if (e.Outcome == Full || e.Outcome == TimedOut || took > class.Aim.Seconds()) && g.now >= s.outUntil {
-			g.sensor.bad++
+		bad := 0.0
+		if e.Outcome == Full || e.Outcome == TimedOut || took > class.Aim.Seconds() {
+			bad = 1
+		}
+		if g.now >= s.outUntil {
+			g.sensor.bad.add(bad, g.now)
 		}
 	}
 	if !r.ran && e.Outcome != Full && e.Outcome != ConnectFailed && e.Outcome != Void {
@@ -781,13 +764,18 @@
 	}
 }
 
-// learn takes a latency into what a place in line takes, and into how slow the server is beside the others.
+// learn takes a latency, as a share of its aim, into what a place in line takes, and into how slow the server
+// is beside the others: a few attempts tell little of that.
 func (g *Gateway) learn(s *server, a *attempt, took float64) {
 	m := &g.sensor
-	s.slowness += (min(10, took*m.places/(m.took*a.place)) - s.slowness) * 2 * smoothing
-	m.usual += (took - m.usual) * smoothing
-	m.took += (took - m.took) * smoothing / 2
-	m.places += (a.place - m.places) * smoothing / 2
+	s.slowness += (min(mostSlow, took*m.place.value/(m.took.value*a.place)) - s.slowness) * slownessWeight
+	m.took.add(took, g.now)
+	m.place.add(a.place, g.now)
+}
+
+// overdue is the silence after which an attempt's server is suspected.
+func (g *Gateway) overdue(class ClassID) time.Duration {
+	return time.Duration(stallTimes * g.latency[class].mean * float64(time.Second))
 }
 
 // mayRetry tells whether a further attempt is harmless, affordable and of use.
@@ -861,8 +849,9 @@
 func (g *Gateway) close(r *request, i int) {
 	if a := &r.attempts[i]; a.open {
 		a.open = false
+		g.open--
 		a.server.open--
-		a.server.waiting = g.now
+		a.server.due = g.now + g.overdue(r.class)
 		r.customer.open--
 		if s := a.server; s.State == Gone && s.open == 0 {
 			delete(g.servers, s.Server)
--- a/choice/state.go
+++ b/choice/state.go
@@ -26,19 +26,26 @@
 	requests  map[RequestID]*request
 	latency   []latency // by class
 	budget    float64   // further attempts that may be made
+	open      int       // attempts out
 	turn      int       // of probing
 	swept     int       // place in roll
 	subscribe bool      // discovery is to be asked
 }
 
-// sensor is what the load of the back end is read from.
+// sensor is what the load of the back end is read from, pooled over all servers.
 type sensor struct {
-	knee         float64 // reported use of processors at which answers are seen to slow
-	sampled      time.Duration
-	took, places float64 // recent latencies, and the places in line that they were spent in
-	usual, aim   float64 // recent latency and mean aim over all classes, seconds
-	queue, ticks float64 // wait to expect as a share of the aim, summed over the ticks of this period
-	done, bad    float64 // recent ends of attempts; of these full, timed out or late
+	sampled     time.Duration
+	line, use   average // requests in work at a server, and use of its processors, as reported
+	took, place average // latencies as shares of their aims, and the places in line that they were spent in
+	bad         average // share of attempts that ended full, timed out or late
+	failing     average // share of attempts that failed
+}
+
+// average is a mean of recent values.
+type average struct {
+	value, weight float64
+	least         float64 // events that it holds at least
+	at            time.Duration
 }
 
 // loop is the control of one priority class.
@@ -83,18 +90,16 @@
 // server is what a gateway knows of one.
 type server struct {
 	ServerEntry
-	open              int           // own attempts out
-	waiting           time.Duration // since when an answer is due
-	others, load      float64       // others in work, and use, as reported at
-	counted, reported time.Duration
-	slowness          float64 // latency in a place in line, relative to the fleet
-	fails, outs       int     // failures and ejections in a row
-	failing           float64 // recent share of failures
-	outUntil          time.Duration
-	trial, cold       bool // back from an ejection and not yet heard well of; started at coldAt
-	coldAt            time.Duration
-	sent              float64 // attempts lately, decayed over OverloadTime
-	sentAt            time.Duration
+	open        int           // own attempts out
+	due         time.Duration // when an answer is overdue
+	line        float64       // requests in work as reported at heard (0: never)
+	heard       time.Duration
+	slowness    float64 // latency in a place in line, relative to the fleet
+	evidence    float64 // that it fails more than the others
+	outs        int     // ejections in a row
+	outUntil    time.Duration
+	trial, cold bool // back from an ejection and not yet heard well of; started at coldAt
+	coldAt      time.Duration
 }
 
 // attempt is one send of a request.
