--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,7 +34,8 @@
 	mostLine       = 1000.0                 //
 	probeDear      = 0.05                   // price of a probe a request above which none is sent
 	reportLife     = 4 * time.Second        // without reports for this long there are none
-	linger         = 2 * time.Second        // how fast one server's report fades to the pool
+	linger         = time.Second            // how fast news fades
+	believed       = 0.5                    // weight of a server's own report while it is new
 	inDoubt        = 0.25                   // share of a burst kept back while others may use it unseen
 	addEvery       = 250 * time.Millisecond // interval of counter adds near a quota
 	addAtLeast     = time.Second            // interval far from it
@@ -176,24 +177,35 @@
 func (a *average) add(x float64, now time.Duration) {
 	keep := max(math.Exp(-(now-a.at).Seconds()/window.Seconds()), 1-1/a.least)
 	a.weight = a.weight*keep + 1
+	if a.weight > 1 {
+		a.gap += ((now - a.at).Seconds() - a.gap) / min(a.weight, a.least)
+	}
 	a.value += (x - a.value) / a.weight
 	a.at = now
 }
 
+// now is the mean, fading while there is no news: who sends nothing hears nothing, and must not believe in a
+// jam for ever.
+func (a *average) now(now time.Duration) float64 {
+	return a.value * math.Exp(-(now-a.at).Seconds()/max(linger.Seconds(), a.least*a.gap))
+}
+
 // wait is what to expect of a new attempt anywhere, as a share of its aim: what a place in line takes, times
 // the line that servers report. It rises with the line at once, long before slow answers come back. Without
 // reports it is what attempts took.
 func (g *Gateway) wait() float64 {
-	return g.sensor.took.value * (g.sensor.line.value + 1) / g.sensor.place.value
+	return g.sensor.took.value * (g.sensor.line.now(g.now) + 1) / g.sensor.place.value
 }
 
 // expect is the same at one server: its own report counts while it is fresh, what this gateway has there, and
 // its slowness.
 func (g *Gateway) expect(s *server) float64 {
 	n := float64(g.set.Gateways)
-	line := g.sensor.line.value/g.warmth(s)*(n-1)/n + float64(s.open)
+	others := g.sensor.line.now(g.now) / g.warmth(s)
+	others += (float64(s.open)*n - others) / n
+	line := others*(n-1)/n + float64(s.open)
 	if s.heard > 0 {
-		line += (s.line - line) * math.Exp(-(g.now-s.heard).Seconds()/linger.Seconds())
+		line += (s.line - line) * believed * math.Exp(-(g.now-s.heard).Seconds()/linger.Seconds())
 	}
 	return g.sensor.took.value / g.sensor.place.value * (line + 1) * s.slowness
 }
@@ -203,10 +215,10 @@
 // late counts whatever they say.
 func (g *Gateway) estimate() float64 {
 	u := g.wait() / slowest
-	if g.sensor.use.weight > 0 && g.now-g.sensor.use.at < reportLife {
-		u = (u + g.sensor.use.value/fullUse) / 2
+	if use := &g.sensor.use; use.weight > 0 && g.now-use.at < reportLife {
+		u = (u + use.value/fullUse) / 2
 	}
-	return max(u, g.sensor.bad.value/mostBad)
+	return max(u, g.sensor.bad.now(g.now)/mostBad)
 }
 
 // 2. Loops: the fraction of customers admitted, by priority class.
--- a/choice/state.go
+++ b/choice/state.go
@@ -44,6 +44,7 @@
 // average is a mean of recent values.
 type average struct {
 	value, weight float64
+	gap           float64 // seconds between values
 	least         float64 // events that it holds at least
 	at            time.Duration
 }
