--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,35 +36,37 @@
 	reportLife     = 4 * time.Second        // without reports for this long there are none
 	linger         = time.Second            // how fast news fades
 	believed       = 0.5                    // weight of a server's own report while it is new
-	inDoubt        = 0.25                   // share of a burst kept back while others may use it unseen
-	addEvery       = 250 * time.Millisecond // interval of counter adds near a quota
-	addAtLeast     = time.Second            // interval far from it
-	addCalm        = 0.25                   // far: new use over all gateways below this share of what is unspent
-	addBackoff     = 2 * time.Second        // longest wait after failed adds
-	openWeight     = 0.1                    // weight of a new count of attempts out elsewhere
-	unitsUsed      = "."                    // the two kinds of counter names
-	attemptsOut    = "/"
-	othersLag      = time.Second      // smoothing of the use seen from other gateways
-	otherZone      = 1.005            // factor on the expected wait in another zone
-	choices        = 2                // servers compared for one attempt
-	mostDraws      = 24               // draws to find them
-	goodNews       = 0.5              // evidence against a server that an answer takes off, after halving it
-	convinced      = 1.2              // evidence that ejects: one failure where under 0.15 fail, more elsewhere
-	leastFailing   = 0.02             // failures anywhere are taken as this frequent at least
-	outFirst       = 2 * time.Second  // first ejection; doubles up to outMost
-	outMost        = 16 * time.Second // long enough to cost little, short enough to come back
-	mostOut        = 0.4              // share of the list that may be avoided as unhealthy
-	stallTimes     = 4.0              // silence, in usual latencies, after which a server is suspected
-	retryShare     = 0.2              // further attempts per first attempt
-	retryBurst     = 3.0              // further attempts at once
-	patience       = 8.0              // deviations above the mean latency that an attempt may take
-	smoothing      = 0.05             // weight of a new latency
-	mostSlow       = 10.0             // a server is taken to be slower by this at most
-	slownessWeight = 0.2              // weight of one latency in a server's slowness
-	nameLife       = 3 * time.Second  // life of a counter name: its second and a slow call
-	sweepAtOnce    = 20               // customers looked at in a tick
-	customerTTL    = 60 * time.Second // a customer idle for this long is forgotten
-	leftover       = 30 * time.Second // an attempt never heard of is forgotten this long after its end
+	trust          = 0.5                    // share of the time in which the rest of a quota fills at its rate, that it is relied on
+	openFade       = 0.2                    // fading time of attempts out, as a share of the aim: about how long one takes
+	mostFades      = 45.0                   // fading times that a counter name lives: e to this is far from overflow
+	mostLife       = 50 * time.Second       // but no longer
+	mostWait       = 1.0                    // seconds until a customer beyond its quota is asked about again
+	addEvery       = 250 * time.Millisecond // how long use is kept before it is added
+	askLess        = 0.8                    // factor on the chance of a call after a slow or refused answer
+	askMore        = 1.05                   // and after a good one
+	askFast        = 1.25                   // and when the last bad one is past
+	askCalm        = 2 * time.Second        // by this
+	leastAsking    = 0.05                   // least chance of a call
+	otherZone      = 1.005                  // factor on the expected wait in another zone
+	choices        = 2                      // servers compared for one attempt
+	mostDraws      = 24                     // draws to find them
+	goodNews       = 0.5                    // evidence against a server that an answer takes off, after halving it
+	convinced      = 1.2                    // evidence that ejects: one failure where under 0.15 fail, more elsewhere
+	leastFailing   = 0.02                   // failures anywhere are taken as this frequent at least
+	outFirst       = 2 * time.Second        // first ejection; doubles up to outMost
+	outMost        = 16 * time.Second       // long enough to cost little, short enough to come back
+	mostOut        = 0.4                    // share of the list that may be avoided as unhealthy
+	stallTimes     = 4.0                    // silence, in usual latencies, after which a server is suspected
+	retryShare     = 0.2                    // further attempts per first attempt
+	retryBurst     = 3.0                    // further attempts at once
+	patience       = 8.0                    // deviations above the mean latency that an attempt may take
+	smoothing      = 0.05                   // weight of a new latency
+	mostSlow       = 10.0                   // a server is taken to be slower by this at most
+	slownessWeight = 0.2                    // weight of one latency in a server's slowness
+	nameLife       = time.Minute            // life of a counter name
+	sweepAtOnce    = 20                     // customers looked at in a tick
+	customerTTL    = 60 * time.Second       // a customer idle for this long is forgotten
+	leftover       = 30 * time.Second       // an attempt never heard of is forgotten this long after its end
 )
 
 // New makes a gateway. The actions are its first ones.
@@ -79,7 +81,7 @@
 	set.MostUnits = max(1, set.MostUnits)
 	set.Plans = append(slices.Clone(set.Plans), Plan{Price: 1}) // for plans that were not described
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: now, budget: retryBurst,
-		customers: map[string]*customer{}, calls: map[string]call{}, servers: map[ServerID]*server{},
+		customers: map[string]*customer{}, asking: 1, calls: map[string][]call{}, servers: map[ServerID]*server{},
 		requests: map[RequestID]*request{}}
 	for _, c := range set.Classes {
 		g.latency = append(g.latency, latency{mean: c.Aim.Seconds() * firstShare, dev: c.Aim.Seconds() * firstShare})
@@ -88,6 +90,9 @@
 	g.sensor = sensor{sampled: now, line: few, use: few, bad: few, failing: many, took: many, place: many}
 	g.sensor.took.value, g.sensor.took.weight = firstShare, 1
 	g.sensor.place.value, g.sensor.place.weight = 1, 1
+	for _, p := range g.set.Plans {
+		g.quotas, g.lets = append(g.quotas, g.quotaOf(p)), append(g.lets, many)
+	}
 	g.rankClasses()
 	g.subscribe = set.Subscribe
 	g.tick()
@@ -285,17 +290,16 @@
 // planIndex is the plan of a request; the last, without limits, is for those that were not described.
 func (g *Gateway) planIndex(p PlanID) int { return int(min(uint(p), uint(len(g.set.Plans)-1))) }
 
-// customer finds or makes the record. A new one, which may have spent elsewhere, gets the split of its
-// burst, and of a ceiling no more than the slack and what has filled since: it may have been drawn on until
-// a moment ago. A split holds a largest request at least: among many gateways it would otherwise admit
-// nothing, and so never hear.
+// customer finds or makes the record. A new one gets the split of its burst, and of a ceiling the split of its
+// slack: it may have been drawn on until a moment ago.
 func (g *Gateway) customer(e Arrived) *customer {
 	c := g.customers[e.Customer]
 	if c == nil {
-		c = &customer{id: e.Customer, hash: hash(e.Customer), at: g.now}
-		c.plan = &g.set.Plans[g.planIndex(e.Plan)]
+		c = &customer{id: e.Customer, hash: hash(e.Customer), at: g.now, plan: g.planIndex(e.Plan)}
+		c.quota = &g.quotas[c.plan]
 		c.spread = float64(min(max(1, e.Spread), g.set.Gateways))
-		c.level, c.ceiling = max(c.plan.Burst/c.spread, 1), c.plan.CeilingSlack/c.spread
+		c.asks = g.set.Counter && c.spread > 1 && c.quota.most > 0
+		c.level, c.ceiling = c.quota.burst/c.spread, g.set.Plans[c.plan].CeilingSlack/c.spread
 		g.customers[e.Customer] = c
 		g.roll = append(g.roll, c)
 	}
@@ -304,202 +308,195 @@
 	return c
 }
 
-func (g *Gateway) split(c *customer) float64 { return max(c.plan.Burst/c.spread, g.set.MostUnits) }
-
-func second(t time.Duration) int64 { return int64(t / time.Second) }
-
-// call adds to a number of a customer and second.
-func (g *Gateway) call(c *customer, kind string, amount float64) {
-	name := c.id
-	if len(name) > 40 { // names are bounded
-		name = strconv.FormatUint(math.Float64bits(c.hash), 36)
+// quotaOf says how the use of a plan's customers is counted: as a total that fades so fast that a customer
+// who spends at the rate of the plan keeps it at the burst; for a plan that limits attempts out, so fast that
+// it stands for those. Then one answer of the counter tells the customer's recent use by all gateways.
+func (g *Gateway) quotaOf(p Plan) quota {
+	q := quota{rate: p.Rate, burst: p.Burst, most: p.Burst}
+	switch {
+	case p.Rate == 0 && p.CeilingRate > 0:
+		q = quota{rate: p.CeilingRate / 2, burst: p.CeilingBurst / 2, most: p.CeilingBurst / 2}
+	case p.Rate == 0:
+		q.most = float64(p.Open)
+		for _, c := range g.set.Classes {
+			q.fade += openFade * max(c.Aim, tick).Seconds() / float64(len(g.set.Classes))
+		}
+		return q
 	}
-	name += kind + strconv.FormatInt(second(g.now), 36)
-	g.calls[name] = call{c: c, amount: amount, second: second(g.now), open: kind == attemptsOut}
-	g.do(Count{Name: name, Amount: amount, TTL: nameLife})
+	q.fade = max(tick.Seconds(), q.burst/q.rate)
+	return q
 }
 
-// tell brings the counter's number of attempts out up to date; each second's starts from nothing.
-func (g *Gateway) tell(c *customer) {
-	mute := !g.set.Counter || c.plan.Open == 0 || c.spread == 1
-	if mute || c.telling || g.now < c.next || c.open == c.told {
-		return
+// settle fills the splits of a customer's stores up to now. What is passed on without asking draws on the part
+// of a ceiling that the quota leaves; where nobody is asked, on the whole.
+func (g *Gateway) settle(c *customer) {
+	dt, p := (g.now - c.at).Seconds(), g.set.Plans[c.plan]
+	rate, burst := p.CeilingRate, p.CeilingBurst
+	if c.asks {
+		rate, burst = max(0, rate-c.quota.rate), burst/2
 	}
-	c.telling = true
-	g.call(c, attemptsOut, float64(c.open-c.told))
-	c.told = c.open
+	c.level = min(max(c.quota.burst/c.spread, g.set.MostUnits), c.level+c.quota.rate/c.spread*dt)
+	c.ceiling = min(burst/c.spread, c.ceiling+rate/c.spread*dt)
+	c.at = g.now
 }
 
-// heardOpen takes the number of attempts out at all gateways.
-func (g *Gateway) heardOpen(c *customer, k call, e Counted) {
-	c.telling = false
-	switch fresh := k.second == second(g.now); {
-	case e.Outcome != OK || anyBad(e.Total):
-		if e.Outcome != TimedOut && fresh {
-			c.told -= int(k.amount)
-		}
-		c.heard = 0
-		g.backOff(c)
-	case fresh:
-		c.elsewhere, c.heard, c.backoff = max(0, e.Total-float64(c.told)), g.now, 0
-		c.usual += (c.elsewhere - c.usual) * openWeight
+// weight is what a unit counts now in the total of a customer, and the name of that. Names change before
+// numbers grow too large or are forgotten, those of different customers at different times.
+func (g *Gateway) weight(c *customer) (float64, string) {
+	life := min(mostLife.Seconds(), mostFades*c.quota.fade)
+	epoch, age := math.Modf(g.now.Seconds()/life + c.hash)
+	name := c.id
+	if len(name) > 40 { // names are bounded
+		name = strconv.FormatUint(math.Float64bits(c.hash), 36)
 	}
+	return math.Exp(age * life / c.quota.fade), name + "." + strconv.FormatInt(int64(epoch), 36)
 }
 
-// backOff puts off the next call after one that failed.
-func (g *Gateway) backOff(c *customer) {
-	c.backoff = min(addBackoff, max(addEvery, c.backoff*2))
-	c.next = g.now + c.backoff
+// call adds units to a customer's total, with those that were not added before; r, if any, waits for it.
+func (g *Gateway) call(c *customer, units float64, r *request) {
+	w, name := g.weight(c)
+	units += c.fresh
+	c.fresh = 0
+	g.calls[name] = append(g.calls[name], call{c: c, r: r, units: units, weight: w, at: g.now})
+	g.do(Count{Name: name, Amount: units * w, TTL: nameLife})
 }
 
-// settle brings a customer's stores to now: they fill at their rates and are drawn on by other gateways at
-// the rate last seen. A guess about a second that has passed stays, as its last adds were never seen. A rate
-// above an even split fades to that: who refuses all adds nothing, hears nothing, and must not believe it
-// for ever.
-func (g *Gateway) settle(c *customer) {
-	dt, p := (g.now - c.at).Seconds(), c.plan
-	share, taken, most := 1/c.spread, 0.0, g.split(c)
-	if c.whole {
-		share, taken, most = 1, c.others*dt, p.Burst
-	}
-	c.level = min(most, max(0, c.level+p.Rate*share*dt-taken))
-	c.ceiling = min(p.CeilingBurst*share, c.ceiling+p.CeilingRate*share*dt-taken)
-	if second(g.now) != second(c.at) {
-		c.guessed, c.added, c.seen, c.told = 0, 0, 0, 0
-	} else {
-		c.guessed += taken
-	}
-	if even := p.Rate * (1 - 1/c.spread); c.others > even && g.now-c.answered > 2*addEvery {
-		c.others += (even - c.others) * (1 - math.Exp(-dt/othersLag.Seconds()))
-	}
-	if g.now-c.heard > 2*addEvery {
-		c.usual *= math.Exp(-dt / othersLag.Seconds())
-	}
-	c.at = g.now
-}
+// mayCall spends calls by chance when the counter is crowded: refused and slow answers lower the chance.
+func (g *Gateway) mayCall() bool { return g.rng.Float64() < g.asking }
 
-// setWhole changes between the whole stores and this gateway's split of them.
-func (c *customer) setWhole(whole bool) {
-	factor := c.spread
-	if !whole {
-		factor = 1 / factor
-	}
-	if c.whole != whole {
-		c.whole, c.guessed = whole, 0
-		c.level *= factor
-		c.ceiling *= factor
-	}
-}
+// standing is what a gateway knows of a try without asking.
+type standing int
 
-// within tells whether a try is inside the quota, as far as this gateway can know. While the counter tells
-// of use elsewhere, some of the burst is kept back for what has not been told yet; a split already holds
-// back the rest.
-func (g *Gateway) within(c *customer, units float64, class ClassID) bool {
-	p := c.plan
-	doubt := 0.0
-	if c.whole && c.others > 0 {
-		doubt = inDoubt * p.Burst
-	}
-	if p.Rate > 0 && c.level < units+doubt || p.Open == 0 {
-		return p.Rate == 0 || c.level >= units+doubt
+const (
+	unknown standing = iota
+	inside
+	beyond
+)
+
+// standing judges a try by what is known: beyond the quota, until the total last heard can have faded enough;
+// inside it, while others could not have used up the rest even at several times the rate.
+func (g *Gateway) standing(c *customer, units float64) standing {
+	p := g.set.Plans[c.plan]
+	switch left := c.quota.most - c.total - c.fresh - units; {
+	case p.Open > 0 && c.open >= p.Open:
+		return beyond
+	case !c.asks && (p.Rate == 0 || c.level >= units) && (p.Open == 0 || float64(c.open) < float64(p.Open)/c.spread):
+		return inside
+	case !c.asks, g.now < c.next:
+		return beyond
+	case c.heard > 0 && (g.now-c.heard).Seconds() < trust*c.quota.fade*left/c.quota.most && c.ceilingHolds(p, units):
+		return inside
+	}
+	return unknown
+}
+
+// guess decides on a try of which the counter tells nothing: the split of the quota, and where that holds
+// less than a request, as many of the tries as the counter lets in of such customers.
+func (g *Gateway) guess(c *customer, units float64) bool {
+	if p := g.set.Plans[c.plan]; !c.ceilingHolds(p, units) {
+		return false
+	} else if p.Rate == 0 && float64(c.open) < float64(p.Open)/c.spread-1 {
+		return true
 	}
-	if c.heard == 0 {
-		return float64(c.open) < float64(p.Open)/c.spread
+	if c.level >= units {
+		return true
 	}
-	old := math.Exp(-(g.now - c.heard).Seconds() / g.latency[class].mean)
-	return float64(c.open)+c.elsewhere*old+c.usual*(1-old)+0.5 < float64(p.Open)
+	return g.rng.Float64() < g.lets[c.plan].value*(1-min(1, c.quota.burst/c.spread/units))
 }
 
-// underCeiling tells whether a first attempt keeps the hard limit whatever the other gateways do meanwhile:
-// what is not yet added stays within this gateway's split of what remains.
-func (c *customer) underCeiling(units float64) bool {
-	if unadded := c.fresh + c.adding; c.whole {
-		return c.plan.CeilingRate == 0 || unadded+units <= (c.ceiling+unadded)/c.spread
-	}
-	return c.plan.CeilingRate == 0 || units <= c.ceiling
+// ceilingHolds tells whether the split of a ceiling has room.
+func (c *customer) ceilingHolds(p Plan, units float64) bool {
+	return p.CeilingRate == 0 || units <= c.ceiling
 }
 
-// spend books the units of a first attempt.
+// spend books the units of a first attempt that the counter has not been told of.
 func (g *Gateway) spend(c *customer, units float64) {
 	c.level = max(0, c.level-units)
 	c.ceiling -= units
-	if !g.set.Counter || c.spread == 1 {
+	if !c.asks {
 		return
 	}
-	if c.plan.Rate > 0 || c.plan.CeilingRate > 0 {
-		c.fresh += units
-	}
+	c.fresh += units
 	if !c.queued {
-		c.queued = true
+		c.queued, c.addAt = true, g.now+addEvery
 		g.due = append(g.due, c)
 	}
 }
 
-// addUse calls the counter for customers with new use, oftener for those near their quota.
+// addUse tells the counter what was spent without asking.
 func (g *Gateway) addUse() {
-	keep := g.due[:0]
-	for _, c := range g.due {
-		g.settle(c)
-		g.tell(c)
-		if c.fresh == 0 && !c.calling && !c.telling && (c.open == 0 || c.plan.Open == 0) && c.told <= c.open {
-			c.queued = false
-			continue
+	g.due = slices.DeleteFunc(g.due, func(c *customer) bool {
+		if g.now < c.addAt {
+			return false
 		}
-		keep = append(keep, c)
-		next := c.next
-		if c.plan.Rate > 0 && c.plan.CeilingRate == 0 && c.fresh*c.spread < addCalm*c.level {
-			next += addAtLeast - addEvery
+		if c.fresh != 0 && !g.mayCall() {
+			c.addAt = g.now + addEvery
+			return false
 		}
-		if !c.calling && g.now >= next && c.fresh > 0 {
-			g.call(c, unitsUsed, c.fresh)
-			c.calling, c.adding, c.fresh, c.next = true, c.fresh, 0, g.now+addEvery
-			c.added += c.adding
+		if c.fresh != 0 {
+			g.call(c, 0, nil)
 		}
-	}
-	g.due = keep
+		c.queued = false
+		return true
+	})
 }
 
 func (g *Gateway) counted(e Counted) {
-	k, ok := g.calls[e.Name]
-	if !ok {
+	line := g.calls[e.Name]
+	if len(line) == 0 {
 		return
 	}
-	delete(g.calls, e.Name)
-	c := k.c
-	g.settle(c)
-	if k.open {
-		g.heardOpen(c, k, e)
-		return
+	k := line[0]
+	if g.calls[e.Name] = line[1:]; len(line) == 1 {
+		delete(g.calls, e.Name)
+	}
+	c, ok := k.c, e.Outcome == OK && !anyBad(e.Total)
+	if !ok || g.now-k.at > g.set.CounterTimeout/2 {
+		g.asking, g.crowded = max(leastAsking, g.asking*askLess), g.now
+	} else if g.now-g.crowded > askCalm {
+		g.asking = min(1, g.asking*askFast)
+	} else {
+		g.asking = min(1, g.asking*askMore)
+	}
+	if r := k.r; r != nil && r.ended {
+		c.fresh -= r.units // its client is gone
 	}
-	c.calling, c.adding = false, 0
-	if e.Outcome != OK || anyBad(e.Total) {
-		if e.Outcome != TimedOut || c.plan.CeilingRate > 0 {
-			c.fresh += k.amount // not added, or safer counted twice than not at all
-			c.added = max(0, c.added-k.amount)
+	g.settle(c)
+	if !ok {
+		if k.r == nil || k.r.ended {
+			return
+		}
+		in := g.guess(c, k.r.units)
+		if e.Outcome == TimedOut && !in { // may have been added
+			c.fresh -= k.r.units
 		}
-		g.backOff(c)
-		c.setWhole(false)
+		g.admit(k.r, in, false)
 		return
 	}
-	c.backoff = 0
-	if k.second != second(g.now) {
-		return // the second turned under way: the guess for it stands
-	}
-	if e.Total < c.added-1e-6 { // lost what was added: it came back empty
-		c.setWhole(false)
+	c.total, c.heard = e.Total/k.weight, g.now
+	if k.r == nil || k.r.ended {
 		return
 	}
-	since := max(c.answered, time.Duration(k.second)*time.Second)
-	news := max(0, min(e.Total-c.added, 2*(c.plan.Rate+c.plan.Burst))-c.seen)
-	c.setWhole(true)
-	c.level = min(c.plan.Burst, max(0, c.level+c.guessed-news))
-	c.ceiling = min(c.plan.CeilingBurst, c.ceiling+c.guessed-news)
-	c.guessed = 0
-	c.seen += news
-	if dt := (g.now - since).Seconds(); dt > 0 {
-		c.others += (news/dt - c.others) * (1 - math.Exp(-dt/othersLag.Seconds()))
+	units := k.r.units
+	before := c.total - units
+	in := before+units <= c.quota.most+1e-6
+	g.lets[c.plan].add(one(in), g.now)
+	if !in {
+		c.total = before
+		room := max(c.quota.most-units, c.quota.most/100)
+		c.next = g.now + time.Duration(min(mostWait, c.quota.fade*math.Log(max(1, before/room)))*float64(time.Second))
+		if g.mayCall() {
+			g.call(c, -units, nil)
+		}
+	}
+	g.admit(k.r, in, true)
+}
+
+func one(b bool) float64 {
+	if b {
+		return 1
 	}
-	c.answered = g.now
+	return 0
 }
 
 // sweep forgets customers long idle, a few at a time.
@@ -672,23 +669,50 @@
 		r.units = 1
 	}
 	g.requests[r.id] = r
-	l := &g.loops[g.rank[e.Class][g.planIndex(e.Plan)]]
-	if !g.within(c, r.units, e.Class) {
+	g.do(SetTimer{At: r.deadline, Timer: Timer{Kind: DeadlineTimer, Request: r.id}})
+	switch g.standing(c, r.units) {
+	case inside:
+		g.admit(r, true, false)
+	case beyond:
+		g.admit(r, false, false)
+	default:
+		switch l := g.loops[g.rank[e.Class][c.plan]]; {
+		case c.hash >= l.f: // not worth a call
+			g.admit(r, true, false)
+		case g.mayCall():
+			g.call(c, r.units, r)
+		default:
+			g.admit(r, g.guess(c, r.units), false)
+		}
+	}
+}
+
+// admit decides on a request that is inside or beyond its quota, and told to the counter or not.
+func (g *Gateway) admit(r *request, inside, told bool) {
+	c := r.customer
+	p := g.set.Plans[c.plan]
+	l := &g.loops[g.rank[r.class][c.plan]]
+	if !inside {
 		l = &g.loops[len(g.loops)-1]
-		if c.plan.OverWorth <= c.plan.OverCost {
+		if p.OverWorth <= p.OverCost {
 			g.end(r, true)
 			return
 		}
 	}
 	l.asked += g.latency[r.class].mean
-	if c.hash >= l.f || !c.underCeiling(r.units) {
-		g.end(r, true)
+	if c.hash >= l.f || !(told && inside) && !c.ceilingHolds(p, r.units) || !g.send(r) {
+		if told && inside {
+			c.fresh -= r.units
+		}
+		if !r.ended {
+			g.end(r, true)
+		}
 		return
 	}
-	if g.send(r) {
-		l.work += g.latency[r.class].mean
-		g.budget = min(retryBurst, g.budget+retryShare)
-		g.do(SetTimer{At: r.deadline, Timer: Timer{Kind: DeadlineTimer, Request: r.id}})
+	l.work += g.latency[r.class].mean
+	g.budget = min(retryBurst, g.budget+retryShare)
+	if !(told && inside) {
+		g.spend(c, r.units)
 	}
 }
 
@@ -700,12 +724,8 @@
 		g.end(r, true)
 		return false
 	}
-	if len(r.attempts) == 0 {
-		g.spend(r.customer, r.units)
-	}
 	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: g.sensor.line.value + 1, open: true})
 	r.customer.open++
-	g.tell(r.customer)
 	if !slices.Contains(g.set.LoadFields, FieldInFlight) { // the line as this gateway's share of it tells
 		g.sensor.line.add(float64(g.open*g.set.Gateways)/float64(max(1, len(g.list))), g.now)
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -19,8 +19,12 @@
 	loops     []loop  // by worth, highest first; the last is for use beyond soft quotas
 	rank      [][]int // loop by class and plan
 	customers map[string]*customer
-	roll, due []*customer     // the same for sweeping, and those with news for the counter
-	calls     map[string]call // counter calls under way, by name
+	roll, due []*customer       // the same for sweeping, and those with news for the counter
+	calls     map[string][]call // counter calls under way, by name
+	quotas    []quota           // by plan
+	lets      []average         // share of the tries asked about that were inside, by plan
+	asking    float64           // chance that the counter is asked
+	crowded   time.Duration     // when it last was slow or refused
 	servers   map[ServerID]*server
 	list      []*server // those that discovery has up
 	requests  map[RequestID]*request
@@ -61,31 +65,28 @@
 type customer struct {
 	id             string
 	hash, spread   float64
-	plan           *Plan
+	plan           int
+	quota          *quota
+	asks           bool          // the counter is asked about it
 	used, at       time.Duration // last asked for, and settled
-	whole          bool          // levels are of the whole stores; else of the split
-	level, ceiling float64       // what is unspent of the quota and the ceiling
-	others         float64       // use at other gateways, units a second
-	guessed        float64       // of that, taken from the levels in this second without being seen
-	seen, added    float64       // to this second of the counter by others, and here
-	fresh, adding  float64       // spent here: not added yet, and in a call under way
-	answered, next time.Duration // last answer; no call before next
-	backoff        time.Duration
-	open, told     int     // attempts out, and how many of them the counter has in this second
-	elsewhere      float64 // attempts out at other gateways, last seen at heard (0: not known)
-	usual          float64 // and on average
-	heard          time.Duration
-	calling        bool // with units
-	telling        bool // of attempts out
+	level, ceiling float64       // what is unspent of this gateway's splits
+	total          float64       // recent use by all gateways, as told at heard (0: never)
+	heard, next    time.Duration // beyond its quota until next
+	fresh          float64       // spent here and not added yet
+	addAt          time.Duration
+	open           int  // attempts out
 	queued         bool // in due
 }
 
-// call is a counter call under way.
+// quota is how the use of a plan's customers is counted; most is the faded total that it allows.
+type quota struct{ rate, burst, most, fade float64 }
+
+// call is a counter call under way, and the request that waits for it, if any.
 type call struct {
-	c      *customer
-	amount float64
-	second int64
-	open   bool // about attempts out, not units
+	c             *customer
+	r             *request
+	units, weight float64
+	at            time.Duration
 }
 
 // server is what a gateway knows of one.
