--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,9 +43,11 @@
 	mostWait       = 1.0                    // seconds until a customer beyond its quota is asked about again
 	addEvery       = 250 * time.Millisecond // how long use is kept before it is added
 	askLess        = 0.8                    // factor on the chance of a call after a slow or refused answer
-	askMore        = 1.05                   // and after a good one
+	askMore        = 1.03                   // and after a good one
 	askFast        = 1.25                   // and when the last bad one is past
-	askCalm        = 2 * time.Second        // by this
+	askCalm        = 4 * time.Second        // by this
+	memory         = 20 * time.Second       // over which a gateway remembers what was asked of it
+	prior          = 0.5                    // requests that the pool counts beside that
 	leastAsking    = 0.05                   // least chance of a call
 	otherZone      = 1.005                  // factor on the expected wait in another zone
 	choices        = 2                      // servers compared for one attempt
@@ -90,7 +92,10 @@
 	g.sensor = sensor{sampled: now, line: few, use: few, bad: few, failing: many, took: many, place: many}
 	g.sensor.took.value, g.sensor.took.weight = firstShare, 1
 	g.sensor.place.value, g.sensor.place.weight = 1, 1
+	g.told = many
+	g.told.add(1, now)
 	for _, p := range g.set.Plans {
+		g.dear = max(g.dear, p.Price)
 		g.quotas, g.lets = append(g.quotas, g.quotaOf(p)), append(g.lets, many)
 	}
 	g.rankClasses()
@@ -337,6 +342,7 @@
 	}
 	c.level = min(max(c.quota.burst/c.spread, g.set.MostUnits), c.level+c.quota.rate/c.spread*dt)
 	c.ceiling = min(burst/c.spread, c.ceiling+rate/c.spread*dt)
+	c.seen *= math.Exp(-dt / memory.Seconds())
 	c.at = g.now
 }
 
@@ -362,7 +368,9 @@
 }
 
 // mayCall spends calls by chance when the counter is crowded: refused and slow answers lower the chance.
-func (g *Gateway) mayCall() bool { return g.rng.Float64() < g.asking }
+func (g *Gateway) mayCall(worth float64) bool {
+	return g.asking == 1 || g.rng.Float64() < g.asking*worth
+}
 
 // standing is what a gateway knows of a try without asking.
 type standing int
@@ -377,7 +385,7 @@
 // inside it, while others could not have used up the rest even at several times the rate.
 func (g *Gateway) standing(c *customer, units float64) standing {
 	p := g.set.Plans[c.plan]
-	switch left := c.quota.most - c.total - c.fresh - units; {
+	switch left := c.quota.most - c.total/g.told.value - c.fresh - units; {
 	case p.Open > 0 && c.open >= p.Open:
 		return beyond
 	case !c.asks && (p.Rate == 0 || c.level >= units) && (p.Open == 0 || float64(c.open) < float64(p.Open)/c.spread):
@@ -390,18 +398,21 @@
 	return unknown
 }
 
-// guess decides on a try of which the counter tells nothing: the split of the quota, and where that holds
-// less than a request, as many of the tries as the counter lets in of such customers.
-func (g *Gateway) guess(c *customer, units float64) bool {
-	if p := g.set.Plans[c.plan]; !c.ceilingHolds(p, units) {
-		return false
-	} else if p.Rate == 0 && float64(c.open) < float64(p.Open)/c.spread-1 {
-		return true
+// chance is how likely a try is inside the quota if nothing is asked: this gateway's split of the quota over
+// the time of its memory, against what it was asked in that time. Where it hardly ever sees the customer, as
+// many as the counter lets in of all such tries.
+func (g *Gateway) chance(c *customer) float64 {
+	share := c.quota.rate / c.spread * memory.Seconds()
+	if c.quota.rate == 0 {
+		share = c.quota.most / c.quota.fade / c.spread * memory.Seconds()
 	}
-	if c.level >= units {
-		return true
-	}
-	return g.rng.Float64() < g.lets[c.plan].value*(1-min(1, c.quota.burst/c.spread/units))
+	return min(1, (prior*g.lets[c.plan].value+share)/(prior+c.seen))
+}
+
+// guess decides on a try of which the counter tells nothing: let in where that is worth more than it costs.
+func (g *Gateway) guess(c *customer, units float64) bool {
+	p, chance := g.set.Plans[c.plan], g.chance(c)
+	return c.ceilingHolds(p, units) && chance > (1-chance)*p.OverCost
 }
 
 // ceilingHolds tells whether the split of a ceiling has room.
@@ -429,12 +440,12 @@
 		if g.now < c.addAt {
 			return false
 		}
-		if c.fresh != 0 && !g.mayCall() {
-			c.addAt = g.now + addEvery
-			return false
-		}
 		if c.fresh != 0 {
-			g.call(c, 0, nil)
+			told := g.mayCall(1)
+			if g.told.add(one(told), g.now); told {
+				g.call(c, 0, nil)
+			}
+			c.fresh = 0
 		}
 		c.queued = false
 		return true
@@ -479,13 +490,13 @@
 	}
 	units := k.r.units
 	before := c.total - units
-	in := before+units <= c.quota.most+1e-6
+	in := before/g.told.value+units/2 <= c.quota.most // half a request above as often as below
 	g.lets[c.plan].add(one(in), g.now)
 	if !in {
 		c.total = before
-		room := max(c.quota.most-units, c.quota.most/100)
+		room := max(c.quota.most-units/2, units/2) * g.told.value
 		c.next = g.now + time.Duration(min(mostWait, c.quota.fade*math.Log(max(1, before/room)))*float64(time.Second))
-		if g.mayCall() {
+		if g.mayCall(1) {
 			g.call(c, -units, nil)
 		}
 	}
@@ -679,12 +690,13 @@
 		switch l := g.loops[g.rank[e.Class][c.plan]]; {
 		case c.hash >= l.f: // not worth a call
 			g.admit(r, true, false)
-		case g.mayCall():
+		case g.mayCall(g.chance(c) * g.set.Plans[c.plan].Price / g.dear):
 			g.call(c, r.units, r)
 		default:
 			g.admit(r, g.guess(c, r.units), false)
 		}
 	}
+	c.seen += r.units
 }
 
 // admit decides on a request that is inside or beyond its quota, and told to the counter or not.
@@ -711,7 +723,9 @@
 	}
 	l.work += g.latency[r.class].mean
 	g.budget = min(retryBurst, g.budget+retryShare)
-	if !(told && inside) {
+	if told && inside {
+		g.told.add(1, g.now)
+	} else {
 		g.spend(c, r.units)
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -23,6 +23,8 @@
 	calls     map[string][]call // counter calls under way, by name
 	quotas    []quota           // by plan
 	lets      []average         // share of the tries asked about that were inside, by plan
+	told      average           // share of what was spent that the counter was told
+	dear      float64           // highest price
 	asking    float64           // chance that the counter is asked
 	crowded   time.Duration     // when it last was slow or refused
 	servers   map[ServerID]*server
@@ -73,6 +75,7 @@
 	total          float64       // recent use by all gateways, as told at heard (0: never)
 	heard, next    time.Duration // beyond its quota until next
 	fresh          float64       // spent here and not added yet
+	seen           float64       // asked for here lately
 	addAt          time.Duration
 	open           int  // attempts out
 	queued         bool // in due
