--- a/choice/choice.go
+++ b/choice/choice.go
@@ -412,7 +412,15 @@
 // guess decides on a try of which the counter tells nothing: let in where that is worth more than it costs.
 func (g *Gateway) guess(c *customer, units float64) bool {
 	p, chance := g.set.Plans[c.plan], g.chance(c)
-	return c.ceilingHolds(p, units) && chance > (1-chance)*p.OverCost
+	switch {
+	case !c.ceilingHolds(p, units):
+		return false
+	case p.Rate == 0 && float64(p.Open) >= c.spread:
+		return float64(c.open) < float64(p.Open)/c.spread
+	case p.Rate > 0 && c.quota.burst >= c.spread*units:
+		return c.level >= units
+	}
+	return chance > (1-chance)*p.OverCost
 }
 
 // ceilingHolds tells whether the split of a ceiling has room.
