--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,12 +43,13 @@
 	mostWait       = 1.0                    // seconds until a customer beyond its quota is asked about again
 	addEvery       = 250 * time.Millisecond // how long use is kept before it is added
 	askLess        = 0.8                    // factor on the chance of a call after a slow or refused answer
-	askMore        = 1.03                   // and after a good one
+	askMore        = 1.1                    // and after a good one
 	askFast        = 1.25                   // and when the last bad one is past
 	askCalm        = 4 * time.Second        // by this
+	blind          = 0.5                    // caution
 	memory         = 20 * time.Second       // over which a gateway remembers what was asked of it
 	prior          = 0.5                    // requests that the pool counts beside that
-	leastAsking    = 0.05                   // least chance of a call
+	leastAsking    = 0.15                   // least chance of a call
 	otherZone      = 1.005                  // factor on the expected wait in another zone
 	choices        = 2                      // servers compared for one attempt
 	mostDraws      = 24                     // draws to find them
@@ -420,7 +421,7 @@
 	case p.Rate > 0 && c.quota.burst >= c.spread*units:
 		return c.level >= units
 	}
-	return chance > (1-chance)*p.OverCost
+	return chance*blind > (1-chance)*p.OverCost
 }
 
 // ceilingHolds tells whether the split of a ceiling has room.
