--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,12 +53,10 @@
 	otherZone      = 1.005                  // factor on the expected wait in another zone
 	choices        = 2                      // servers compared for one attempt
 	mostDraws      = 24                     // draws to find them
-	goodNews       = 0.5                    // evidence against a server that an answer takes off, after halving it
-	convinced      = 1.2                    // evidence that ejects: one failure where under 0.15 fail, more elsewhere
-	leastFailing   = 0.02                   // failures anywhere are taken as this frequent at least
-	outFirst       = 2 * time.Second        // first ejection; doubles up to outMost
-	outMost        = 16 * time.Second       // long enough to cost little, short enough to come back
-	mostOut        = 0.4                    // share of the list that may be avoided as unhealthy
+	moreChoices    = 6.0                    // and more where a share of the attempts fails, times this
+	healthMemory   = 10 * time.Second       // how long a server's failures and answers are remembered
+	healthPrior    = 0.5                    // attempts that the rate of failures anywhere counts beside them
+	riskCost       = 1.0                    // a sure failure as a wait, in aims
 	stallTimes     = 4.0                    // silence, in usual latencies, after which a server is suspected
 	retryShare     = 0.2                    // further attempts per first attempt
 	retryBurst     = 3.0                    // further attempts at once
@@ -87,10 +85,11 @@
 		customers: map[string]*customer{}, asking: 1, calls: map[string][]call{}, servers: map[ServerID]*server{},
 		requests: map[RequestID]*request{}}
 	for _, c := range set.Classes {
+		g.failing = append(g.failing, average{least: fewest * slower, at: now})
 		g.latency = append(g.latency, latency{mean: c.Aim.Seconds() * firstShare, dev: c.Aim.Seconds() * firstShare})
 	}
 	few, many := average{least: fewest, at: now}, average{least: fewest * slower, at: now}
-	g.sensor = sensor{sampled: now, line: few, use: few, bad: few, failing: many, took: many, place: many}
+	g.sensor = sensor{sampled: now, line: few, use: few, bad: few, took: many, place: many}
 	g.sensor.took.value, g.sensor.took.weight = firstShare, 1
 	g.sensor.place.value, g.sensor.place.weight = 1, 1
 	g.told = many
@@ -175,9 +174,7 @@
 			g.sensor.use.add(min(load[i], mostUse), g.now)
 		case FieldInFlight:
 			line := min(load[i], mostLine)
-			if g.now >= s.outUntil {
-				g.sensor.line.add(line/g.warmth(s), g.now)
-			}
+			g.sensor.line.add(line/g.warmth(s), g.now)
 			s.line, s.heard = line, g.now
 		}
 	}
@@ -554,12 +551,12 @@
 			continue
 		}
 		if s == nil {
-			s = &server{slowness: 1}
+			s = &server{slowness: 1, health: make([]health, len(g.set.Classes))}
 			g.servers[n.Server] = s
 		}
 		if n.Started > s.Started && n.Started > 0 && n.Started+g.set.ColdTime > g.now {
 			s.cold, s.coldAt = true, n.Started
-			s.outUntil, s.evidence, s.trial = 0, 0, false
+			clear(s.health)
 		}
 		s.ServerEntry = n
 		if n.State == Up && !slices.Contains(g.list, s) {
@@ -587,38 +584,65 @@
 	return g.set.ColdShare + (1-g.set.ColdShare)*max(0, age)
 }
 
-// suspect tells that a server leaves attempts unanswered for much longer than usual: hung, stalled or
-// vanished.
-func (g *Gateway) suspect(s *server) bool {
-	return s.open > 0 && g.now > s.due
+// risk is how likely an attempt of a class fails at a server: what it did to the last ones, an overdue answer
+// counted as a failure, weighed against how often they fail anywhere. Where failures are rare, one tells much.
+// Where many servers fail a class, those that answered it stand out. What all suffer alike changes nothing.
+func (g *Gateway) risk(s *server, class ClassID) float64 {
+	h := &s.health[class]
+	keep := math.Exp(-(g.now - h.at).Seconds() / healthMemory.Seconds())
+	fails, n := h.fails*keep, h.n*keep
+	if s.open > 0 && g.now > s.due {
+		fails, n = fails+1, n+1
+	}
+	return (g.failing[class].value*healthPrior + fails) / (healthPrior + n)
+}
+
+// judge takes an attempt's end into the health of its server: for its class, and a failure half for the
+// others, since a server that hangs fails all.
+func (g *Gateway) judge(s *server, class ClassID, o Outcome) {
+	fail := 1.0
+	switch o {
+	case OK:
+		fail = 0
+	case Error, TimedOut, ConnectFailed, Reset:
+	default:
+		return
+	}
+	g.failing[class].add(fail, g.now)
+	for i := range s.health {
+		h, w := &s.health[i], 1.0
+		if ClassID(i) != class {
+			w = fail / 2
+		}
+		keep := math.Exp(-(g.now - h.at).Seconds() / healthMemory.Seconds())
+		h.fails, h.n, h.at = h.fails*keep+fail*w, h.n*keep+w, g.now
+	}
 }
 
-// choose picks a server for the next attempt of r, or nil: the one with the least wait of a few drawn at
-// random. A cold one is drawn as often as its warmth says, so that all gateways together give it its share
-// however many they are, and an empty line attracts nobody who has not drawn it. Suspected and ejected ones,
-// and unsafe requests at one on trial, wait for better times unless hardly any other is left.
+// choose picks a server for the next attempt of r, or nil: of a few drawn at random, the one with the least
+// wait and risk. A cold one is drawn as often as its warmth says, so that all gateways together give it its
+// share however many they are, and an empty line attracts nobody who has not drawn it.
 func (g *Gateway) choose(r *request) *server {
 	class := g.set.Classes[r.class]
 	var best, spare *server
-	bestWait := math.Inf(1)
-	for drawn, tries := 0, 0; drawn < choices && tries < mostDraws && len(g.list) > 0; tries++ {
+	least := math.Inf(1)
+	most := choices + int(g.failing[r.class].value*moreChoices)
+	for drawn, tries := 0, 0; drawn < most && tries < mostDraws && len(g.list) > 0; tries++ {
 		s := g.list[g.rng.IntN(len(g.list))]
 		if g.rng.Float64() >= g.warmth(s) || !inScope(r, class, s) {
 			continue
 		}
-		if spare == nil || r.triedAt(spare) {
+		if r.triedAt(s) {
 			spare = s
-		}
-		if g.now < s.outUntil || r.triedAt(s) || g.suspect(s) || s.trial && (s.open > 0 || class.Repeat == Unsafe) {
 			continue
 		}
 		drawn++
-		wait := g.expect(s)
+		cost := g.expect(s)
 		if s.Zone != g.set.Zone {
-			wait *= otherZone
+			cost *= otherZone
 		}
-		if wait < bestWait {
-			best, bestWait = s, wait
+		if cost += g.risk(s, r.class) * riskCost; cost < least {
+			best, least = s, cost
 		}
 	}
 	if best == nil {
@@ -640,38 +664,6 @@
 		class.Scope == ScopeCell && s.Cell == r.ranAt.Cell
 }
 
-// judge takes an attempt's end into the health of its server: evidence that it has failed, against the rate
-// at which attempts fail anywhere. Where failures are rare, one is enough to leave it alone for a while; it
-// is then tried with one attempt. When many fail alike the trouble is shared and none is ejected.
-func (g *Gateway) judge(s *server, o Outcome) {
-	switch o {
-	case OK:
-		g.sensor.failing.add(0, g.now)
-		s.evidence = max(0, s.evidence/2-goodNews)
-		s.trial, s.outs = false, 0
-		return
-	case Error, TimedOut, ConnectFailed, Reset:
-		g.sensor.failing.add(1, g.now)
-		s.evidence += max(0, -math.Log(2*max(g.sensor.failing.value, leastFailing)))
-	default:
-		return
-	}
-	if (s.trial || s.evidence > convinced) && g.now >= s.outUntil {
-		out := 1.0
-		for _, v := range g.list {
-			if v != s && g.now < v.outUntil {
-				out++
-			}
-		}
-		if out <= mostOut*float64(len(g.list)) {
-			stay := min(outMost, outFirst<<min(s.outs, 4))
-			s.outUntil = g.now + stay/2 + time.Duration(g.rng.Float64()*float64(stay))
-			s.outs++
-			s.trial, s.evidence = true, 0
-		}
-	}
-}
-
 // 5. Attempts and answers.
 
 func (g *Gateway) arrived(e Arrived) {
@@ -793,15 +785,13 @@
 		l.dev += (math.Abs(took-l.mean) - l.dev) * smoothing
 		l.mean += (took - l.mean) * smoothing
 	}
-	g.judge(s, e.Outcome)
+	g.judge(s, r.class, e.Outcome)
 	if e.Outcome != Void && e.Outcome != Cancelled {
 		bad := 0.0
 		if e.Outcome == Full || e.Outcome == TimedOut || took > class.Aim.Seconds() {
 			bad = 1
 		}
-		if g.now >= s.outUntil {
-			g.sensor.bad.add(bad, g.now)
-		}
+		g.sensor.bad.add(bad, g.now)
 	}
 	if !r.ran && e.Outcome != Full && e.Outcome != ConnectFailed && e.Outcome != Void {
 		r.ran, r.ranAt, r.ranSent = true, s, a.sent
--- a/choice/state.go
+++ b/choice/state.go
@@ -31,6 +31,7 @@
 	list      []*server // those that discovery has up
 	requests  map[RequestID]*request
 	latency   []latency // by class
+	failing   []average // share of attempts that failed, by class
 	budget    float64   // further attempts that may be made
 	open      int       // attempts out
 	turn      int       // of probing
@@ -44,7 +45,6 @@
 	line, use   average // requests in work at a server, and use of its processors, as reported
 	took, place average // latencies as shares of their aims, and the places in line that they were spent in
 	bad         average // share of attempts that ended full, timed out or late
-	failing     average // share of attempts that failed
 }
 
 // average is a mean of recent values.
@@ -95,16 +95,20 @@
 // server is what a gateway knows of one.
 type server struct {
 	ServerEntry
-	open        int           // own attempts out
-	due         time.Duration // when an answer is overdue
-	line        float64       // requests in work as reported at heard (0: never)
-	heard       time.Duration
-	slowness    float64 // latency in a place in line, relative to the fleet
-	evidence    float64 // that it fails more than the others
-	outs        int     // ejections in a row
-	outUntil    time.Duration
-	trial, cold bool // back from an ejection and not yet heard well of; started at coldAt
-	coldAt      time.Duration
+	open     int           // own attempts out
+	due      time.Duration // when an answer is overdue
+	line     float64       // requests in work as reported at heard (0: never)
+	heard    time.Duration
+	slowness float64  // latency in a place in line, relative to the fleet
+	health   []health // by class
+	cold     bool     // started at coldAt
+	coldAt   time.Duration
+}
+
+// health is how attempts of a class ended lately at a server.
+type health struct {
+	fails, n float64
+	at       time.Duration
 }
 
 // attempt is one send of a request.
