--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,7 +37,7 @@
 	linger         = time.Second            // how fast news fades
 	believed       = 0.5                    // weight of a server's own report while it is new
 	trust          = 0.5                    // share of the time in which the rest of a quota fills at its rate, that it is relied on
-	openFade       = 0.2                    // fading time of attempts out, as a share of the aim: about how long one takes
+	openFade       = 1.0                    // fading time of attempts out that were never taken back, in aims
 	mostFades      = 45.0                   // fading times that a counter name lives: e to this is far from overflow
 	mostLife       = 50 * time.Second       // but no longer
 	mostWait       = 1.0                    // seconds until a customer beyond its quota is asked about again
@@ -361,10 +361,20 @@
 	w, name := g.weight(c)
 	units += c.fresh
 	c.fresh = 0
-	g.calls[name] = append(g.calls[name], call{c: c, r: r, units: units, weight: w, at: g.now})
+	if r != nil {
+		r.name, r.weight = name, w
+	}
+	g.calls[name] = append(g.calls[name], call{c: c, r: r, weight: w, at: g.now})
 	g.do(Count{Name: name, Amount: units * w, TTL: nameLife})
 }
 
+// takeBack undoes what was added for a request: refused in the end, or an attempt that is no longer out.
+func (g *Gateway) takeBack(r *request) {
+	r.told = false
+	g.calls[r.name] = append(g.calls[r.name], call{c: r.customer, weight: r.weight, at: g.now})
+	g.do(Count{Name: r.name, Amount: -r.units * r.weight, TTL: nameLife})
+}
+
 // mayCall spends calls by chance when the counter is crowded: refused and slow answers lower the chance.
 func (g *Gateway) mayCall(worth float64) bool {
 	return g.asking == 1 || g.rng.Float64() < g.asking*worth
@@ -503,7 +513,7 @@
 		room := max(c.quota.most-units/2, units/2) * g.told.value
 		c.next = g.now + time.Duration(min(mostWait, c.quota.fade*math.Log(max(1, before/room)))*float64(time.Second))
 		if g.mayCall(1) {
-			g.call(c, -units, nil)
+			g.takeBack(k.r)
 		}
 	}
 	g.admit(k.r, in, true)
@@ -680,6 +690,9 @@
 	if anyBad(e.Units) {
 		r.units = 1
 	}
+	if p := g.set.Plans[c.plan]; p.Rate == 0 && p.CeilingRate == 0 && p.Open > 0 {
+		r.units = 1 // attempts are counted
+	}
 	g.requests[r.id] = r
 	g.do(SetTimer{At: r.deadline, Timer: Timer{Kind: DeadlineTimer, Request: r.id}})
 	switch g.standing(c, r.units) {
@@ -726,6 +739,7 @@
 	g.budget = min(retryBurst, g.budget+retryShare)
 	if told && inside {
 		g.told.add(1, g.now)
+		r.told = true
 	} else {
 		g.spend(c, r.units)
 	}
@@ -897,7 +911,10 @@
 		g.open--
 		a.server.open--
 		a.server.due = g.now + g.overdue(r.class)
-		r.customer.open--
+		c := r.customer
+		if c.open--; r.told && c.quota.rate == 0 {
+			g.takeBack(r)
+		}
 		if s := a.server; s.State == Gone && s.open == 0 {
 			delete(g.servers, s.Server)
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -86,10 +86,10 @@
 
 // call is a counter call under way, and the request that waits for it, if any.
 type call struct {
-	c             *customer
-	r             *request
-	units, weight float64
-	at            time.Duration
+	c      *customer
+	r      *request
+	weight float64
+	at     time.Duration
 }
 
 // server is what a gateway knows of one.
@@ -131,6 +131,9 @@
 	ranAt             *server
 	ranSent           time.Duration
 	ended, streaming  bool
+	name              string  // of the counter that its units were added to,
+	weight            float64 // each as so much
+	told              bool    // and they are there
 }
 
 // latency is what attempts of a class take, in seconds, and how far they stray from it.
