--- a/choice/choice.go
+++ b/choice/choice.go
@@ -400,7 +400,7 @@
 		return inside
 	case !c.asks, g.now < c.next:
 		return beyond
-	case c.heard > 0 && (g.now-c.heard).Seconds() < trust*c.quota.fade*left/c.quota.most && c.ceilingHolds(p, units):
+	case c.quota.rate > 0 && c.heard > 0 && (g.now-c.heard).Seconds() < trust*c.quota.fade*left/c.quota.most && c.ceilingHolds(p, units):
 		return inside
 	}
 	return unknown
@@ -440,7 +440,7 @@
 func (g *Gateway) spend(c *customer, units float64) {
 	c.level = max(0, c.level-units)
 	c.ceiling -= units
-	if !c.asks {
+	if !c.asks || c.quota.rate == 0 {
 		return
 	}
 	c.fresh += units
@@ -485,8 +485,8 @@
 	} else {
 		g.asking = min(1, g.asking*askMore)
 	}
-	if r := k.r; r != nil && r.ended {
-		c.fresh -= r.units // its client is gone
+	if r := k.r; r != nil && r.ended && ok {
+		g.takeBack(r) // its client is gone
 	}
 	g.settle(c)
 	if !ok {
@@ -495,7 +495,7 @@
 		}
 		in := g.guess(c, k.r.units)
 		if e.Outcome == TimedOut && !in { // may have been added
-			c.fresh -= k.r.units
+			g.takeBack(k.r)
 		}
 		g.admit(k.r, in, false)
 		return
@@ -728,7 +728,7 @@
 	l.asked += g.latency[r.class].mean
 	if c.hash >= l.f || !(told && inside) && !c.ceilingHolds(p, r.units) || !g.send(r) {
 		if told && inside {
-			c.fresh -= r.units
+			g.takeBack(r)
 		}
 		if !r.ended {
 			g.end(r, true)
