--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,6 +36,7 @@
 	reportLife     = 4 * time.Second        // without reports for this long there are none
 	linger         = time.Second            // how fast news fades
 	believed       = 0.5                    // weight of a server's own report while it is new
+	ownFew         = 5.0                    // own attempts out that weigh as much as the reports
 	trust          = 0.5                    // share of the time in which the rest of a quota fills at its rate, that it is relied on
 	openFade       = 1.0                    // fading time of attempts out that were never taken back, in aims
 	mostFades      = 45.0                   // fading times that a counter name lives: e to this is far from overflow
@@ -198,18 +199,26 @@
 	return a.value * math.Exp(-(now-a.at).Seconds()/max(linger.Seconds(), a.least*a.gap))
 }
 
+// inLine is the number of requests in work at a server: what was reported lately, and what this gateway has out,
+// taken as its share. That is known at once but says little where it is few.
+func (g *Gateway) inLine() float64 {
+	told, out := g.sensor.line.now(g.now), float64(g.open)
+	own := out * float64(g.set.Gateways) / float64(max(1, len(g.list)))
+	return told + (own-told)*out/(out+ownFew)
+}
+
 // wait is what to expect of a new attempt anywhere, as a share of its aim: what a place in line takes, times
 // the line that servers report. It rises with the line at once, long before slow answers come back. Without
 // reports it is what attempts took.
 func (g *Gateway) wait() float64 {
-	return g.sensor.took.value * (g.sensor.line.now(g.now) + 1) / g.sensor.place.value
+	return g.sensor.took.value * (g.inLine() + 1) / g.sensor.place.value
 }
 
 // expect is the same at one server: its own report counts while it is fresh, what this gateway has there, and
 // its slowness.
 func (g *Gateway) expect(s *server) float64 {
 	n := float64(g.set.Gateways)
-	others := g.sensor.line.now(g.now) / g.warmth(s)
+	others := g.inLine() / g.warmth(s)
 	others += (float64(s.open)*n - others) / n
 	line := others*(n-1)/n + float64(s.open)
 	if s.heard > 0 {
@@ -511,7 +520,10 @@
 	if !in {
 		c.total = before
 		room := max(c.quota.most-units/2, units/2) * g.told.value
-		c.next = g.now + time.Duration(min(mostWait, c.quota.fade*math.Log(max(1, before/room)))*float64(time.Second))
+		if c.quota.rate > 0 {
+			wait := min(mostWait, c.quota.fade*math.Log(max(1, before/room)))
+			c.next = g.now + time.Duration(wait*float64(time.Second))
+		}
 		if g.mayCall(1) {
 			g.takeBack(k.r)
 		}
@@ -753,7 +765,7 @@
 		g.end(r, true)
 		return false
 	}
-	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: g.sensor.line.value + 1, open: true})
+	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: g.inLine() + 1, open: true})
 	r.customer.open++
 	if !slices.Contains(g.set.LoadFields, FieldInFlight) { // the line as this gateway's share of it tells
 		g.sensor.line.add(float64(g.open*g.set.Gateways)/float64(max(1, len(g.list))), g.now)
