--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,7 +52,7 @@
 	prior          = 0.5                    // requests that the pool counts beside that
 	leastAsking    = 0.15                   // least chance of a call
 	otherZone      = 1.005                  // factor on the expected wait in another zone
-	choices        = 2                      // servers compared for one attempt
+	choices        = 3                      // servers compared for one attempt
 	mostDraws      = 24                     // draws to find them
 	moreChoices    = 6.0                    // and more where a share of the attempts fails, times this
 	healthMemory   = 10 * time.Second       // how long a server's failures and answers are remembered
@@ -214,9 +214,9 @@
 	return g.sensor.took.value * (g.inLine() + 1) / g.sensor.place.value
 }
 
-// expect is the same at one server: its own report counts while it is fresh, what this gateway has there, and
-// its slowness.
-func (g *Gateway) expect(s *server) float64 {
+// lineAt is the number of requests in work at one server: its own report counts while it is fresh, and what
+// this gateway has there.
+func (g *Gateway) lineAt(s *server) float64 {
 	n := float64(g.set.Gateways)
 	others := g.inLine() / g.warmth(s)
 	others += (float64(s.open)*n - others) / n
@@ -224,7 +224,12 @@
 	if s.heard > 0 {
 		line += (s.line - line) * believed * math.Exp(-(g.now-s.heard).Seconds()/linger.Seconds())
 	}
-	return g.sensor.took.value / g.sensor.place.value * (line + 1) * s.slowness
+	return line
+}
+
+// expect is what to expect of a new attempt at one server, as a share of its aim.
+func (g *Gateway) expect(s *server) float64 {
+	return g.sensor.took.value / g.sensor.place.value * (g.lineAt(s) + 1) * s.slowness
 }
 
 // estimate gives U, where 1 is the load at which servers refuse or are too slow: halfway between the wait to
@@ -765,7 +770,7 @@
 		g.end(r, true)
 		return false
 	}
-	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: g.inLine() + 1, open: true})
+	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: g.lineAt(s) + 1, open: true})
 	r.customer.open++
 	if !slices.Contains(g.set.LoadFields, FieldInFlight) { // the line as this gateway's share of it tells
 		g.sensor.line.add(float64(g.open*g.set.Gateways)/float64(max(1, len(g.list))), g.now)
