--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,6 +39,7 @@
 	ownFew         = 5.0                    // own attempts out that weigh as much as the reports
 	trust          = 0.5                    // share of the time in which the rest of a quota fills at its rate, that it is relied on
 	openFade       = 1.0                    // fading time of attempts out that were never taken back, in aims
+	askedPart      = 0.7                    // share of a ceiling that may be passed on by asking
 	mostFades      = 45.0                   // fading times that a counter name lives: e to this is far from overflow
 	mostLife       = 50 * time.Second       // but no longer
 	mostWait       = 1.0                    // seconds until a customer beyond its quota is asked about again
@@ -175,7 +176,7 @@
 			g.sensor.use.add(min(load[i], mostUse), g.now)
 		case FieldInFlight:
 			line := min(load[i], mostLine)
-			g.sensor.line.add(line/g.warmth(s), g.now)
+			g.sensor.line.add(line, g.now)
 			s.line, s.heard = line, g.now
 		}
 	}
@@ -218,7 +219,7 @@
 // this gateway has there.
 func (g *Gateway) lineAt(s *server) float64 {
 	n := float64(g.set.Gateways)
-	others := g.inLine() / g.warmth(s)
+	others := g.inLine()
 	others += (float64(s.open)*n - others) / n
 	line := others*(n-1)/n + float64(s.open)
 	if s.heard > 0 {
@@ -229,7 +230,7 @@
 
 // expect is what to expect of a new attempt at one server, as a share of its aim.
 func (g *Gateway) expect(s *server) float64 {
-	return g.sensor.took.value / g.sensor.place.value * (g.lineAt(s) + 1) * s.slowness
+	return g.sensor.took.value / g.sensor.place.value * (g.lineAt(s) + 1) * s.slowness / g.warmth(s)
 }
 
 // estimate gives U, where 1 is the load at which servers refuse or are too slow: halfway between the wait to
@@ -329,11 +330,15 @@
 // who spends at the rate of the plan keeps it at the burst; for a plan that limits attempts out, so fast that
 // it stands for those. Then one answer of the counter tells the customer's recent use by all gateways.
 func (g *Gateway) quotaOf(p Plan) quota {
-	q := quota{rate: p.Rate, burst: p.Burst, most: p.Burst}
-	switch {
-	case p.Rate == 0 && p.CeilingRate > 0:
-		q = quota{rate: p.CeilingRate / 2, burst: p.CeilingBurst / 2, most: p.CeilingBurst / 2}
-	case p.Rate == 0:
+	q := quota{rate: p.Rate, burst: p.Burst}
+	if p.CeilingRate > 0 { // some of a ceiling is always left for what is passed on without asking
+		if q.rate == 0 {
+			q.rate, q.burst = math.Inf(1), math.Inf(1)
+		}
+		q.rate, q.burst = min(q.rate, p.CeilingRate*askedPart), min(q.burst, p.CeilingBurst*askedPart)
+	}
+	q.most = q.burst
+	if q.rate == 0 {
 		q.most = float64(p.Open)
 		for _, c := range g.set.Classes {
 			q.fade += openFade * max(c.Aim, tick).Seconds() / float64(len(g.set.Classes))
@@ -350,7 +355,7 @@
 	dt, p := (g.now - c.at).Seconds(), g.set.Plans[c.plan]
 	rate, burst := p.CeilingRate, p.CeilingBurst
 	if c.asks {
-		rate, burst = max(0, rate-c.quota.rate), burst/2
+		rate, burst = max(0, rate-c.quota.rate), max(0, burst-c.quota.burst)
 	}
 	c.level = min(max(c.quota.burst/c.spread, g.set.MostUnits), c.level+c.quota.rate/c.spread*dt)
 	c.ceiling = min(burst/c.spread, c.ceiling+rate/c.spread*dt)
@@ -707,7 +712,7 @@
 	if anyBad(e.Units) {
 		r.units = 1
 	}
-	if p := g.set.Plans[c.plan]; p.Rate == 0 && p.CeilingRate == 0 && p.Open > 0 {
+	if c.quota.rate == 0 {
 		r.units = 1 // attempts are counted
 	}
 	g.requests[r.id] = r
@@ -770,7 +775,7 @@
 		g.end(r, true)
 		return false
 	}
-	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: g.lineAt(s) + 1, open: true})
+	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: (g.lineAt(s) + 1) / g.warmth(s), open: true})
 	r.customer.open++
 	if !slices.Contains(g.set.LoadFields, FieldInFlight) { // the line as this gateway's share of it tells
 		g.sensor.line.add(float64(g.open*g.set.Gateways)/float64(max(1, len(g.list))), g.now)
