--- a/choice/api.go
+++ b/choice/api.go
@@ -111,7 +111,8 @@
 	Customer      string
 	Left          time.Duration // until the client gives up
 	Units         float64
-	Spread, First int // the customer comes in through Spread gateways, from number First on
+	Spread, First int  // the customer comes in through Spread gateways, from number First on
+	Retry         bool // the client says that it has tried before
 }
 
 // ClientLeft ends a request from the client's side.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,13 +39,14 @@
 	ownFew         = 5.0                    // own attempts out that weigh as much as the reports
 	trust          = 0.5                    // share of the time in which the rest of a quota fills at its rate, that it is relied on
 	openFade       = 1.0                    // fading time of attempts out that were never taken back, in aims
-	askedPart      = 0.7                    // share of a ceiling that may be passed on by asking
+	askedPart      = 0.35                   // share of a ceiling that may be passed on by asking alone
 	mostFades      = 45.0                   // fading times that a counter name lives: e to this is far from overflow
 	mostLife       = 50 * time.Second       // but no longer
 	mostWait       = 1.0                    // seconds until a customer beyond its quota is asked about again
 	addEvery       = 250 * time.Millisecond // how long use is kept before it is added
-	askLess        = 0.8                    // factor on the chance of a call after a slow or refused answer
-	askMore        = 1.1                    // and after a good one
+	askLess        = 0.85                   // factor on the chance of a call after a refused answer
+	askSlow        = 0.6                    // and after a slow one or none: the counter works for nobody
+	askMore        = 1.06                   // and after a good one
 	askFast        = 1.25                   // and when the last bad one is past
 	askCalm        = 4 * time.Second        // by this
 	blind          = 0.5                    // caution
@@ -331,11 +332,8 @@
 // it stands for those. Then one answer of the counter tells the customer's recent use by all gateways.
 func (g *Gateway) quotaOf(p Plan) quota {
 	q := quota{rate: p.Rate, burst: p.Burst}
-	if p.CeilingRate > 0 { // some of a ceiling is always left for what is passed on without asking
-		if q.rate == 0 {
-			q.rate, q.burst = math.Inf(1), math.Inf(1)
-		}
-		q.rate, q.burst = min(q.rate, p.CeilingRate*askedPart), min(q.burst, p.CeilingBurst*askedPart)
+	if p.CeilingRate > 0 && q.rate == 0 {
+		q.rate, q.burst = p.CeilingRate, p.CeilingBurst
 	}
 	q.most = q.burst
 	if q.rate == 0 {
@@ -349,16 +347,15 @@
 	return q
 }
 
-// settle fills the splits of a customer's stores up to now. What is passed on without asking draws on the part
-// of a ceiling that the quota leaves; where nobody is asked, on the whole.
+// settle fills the splits of a customer's stores up to now. Of a ceiling, a part is kept for what is passed on
+// by asking when the split is empty.
 func (g *Gateway) settle(c *customer) {
-	dt, p := (g.now - c.at).Seconds(), g.set.Plans[c.plan]
-	rate, burst := p.CeilingRate, p.CeilingBurst
+	dt, p, part := (g.now - c.at).Seconds(), g.set.Plans[c.plan], 1.0
 	if c.asks {
-		rate, burst = max(0, rate-c.quota.rate), max(0, burst-c.quota.burst)
+		part -= askedPart
 	}
 	c.level = min(max(c.quota.burst/c.spread, g.set.MostUnits), c.level+c.quota.rate/c.spread*dt)
-	c.ceiling = min(burst/c.spread, c.ceiling+rate/c.spread*dt)
+	c.ceiling = min(part*p.CeilingBurst/c.spread, c.ceiling+part*p.CeilingRate/c.spread*dt)
 	c.seen *= math.Exp(-dt / memory.Seconds())
 	c.at = g.now
 }
@@ -497,7 +494,9 @@
 		delete(g.calls, e.Name)
 	}
 	c, ok := k.c, e.Outcome == OK && !anyBad(e.Total)
-	if !ok || g.now-k.at > g.set.CounterTimeout/2 {
+	if e.Outcome == TimedOut || g.now-k.at > g.set.CounterTimeout/2 {
+		g.asking, g.crowded = max(leastAsking, g.asking*askSlow), g.now
+	} else if !ok {
 		g.asking, g.crowded = max(leastAsking, g.asking*askLess), g.now
 	} else if g.now-g.crowded > askCalm {
 		g.asking = min(1, g.asking*askFast)
@@ -538,6 +537,11 @@
 			g.takeBack(k.r)
 		}
 	}
+	if p := g.set.Plans[c.plan]; in && !c.ceilingHolds(p, units) && before+units > askedPart*p.CeilingBurst {
+		g.takeBack(k.r)
+		g.end(k.r, true)
+		return
+	}
 	g.admit(k.r, in, true)
 }
 
@@ -732,7 +736,9 @@
 			g.admit(r, g.guess(c, r.units), false)
 		}
 	}
-	c.seen += r.units
+	if !e.Retry {
+		c.seen += r.units
+	}
 }
 
 // admit decides on a request that is inside or beyond its quota, and told to the counter or not.
@@ -762,6 +768,8 @@
 	if told && inside {
 		g.told.add(1, g.now)
 		r.told = true
+		c.level = max(0, c.level-r.units)
+		c.ceiling = max(0, c.ceiling-r.units)
 	} else {
 		g.spend(c, r.units)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -151,10 +151,11 @@
 	case "stop":
 		it.Kind = Stop
 	case "accept":
-		it.Event = choice.Arrived{Request: f.request("job"), Class: choice.ClassID(f.int("lane")),
+		e := choice.Arrived{Request: f.request("job"), Class: choice.ClassID(f.int("lane")),
 			Plan: choice.PlanID(f.int("tier")), Customer: f.text("user-key"), Left: f.millis("time-budget-ms"),
 			Units: f.float("cost-units"), Spread: f.int("width"), First: f.int("base")}
-		f.int("marks")
+		e.Retry = f.int("marks")&2 != 0
+		it.Event = e
 	case "left":
 		it.Event = choice.ClientLeft{Request: f.request("job")}
 	case "reply":
