--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,8 @@
 	probeDear      = 0.05                   // price of a probe a request above which none is sent
 	reportLife     = 4 * time.Second        // without reports for this long there are none
 	linger         = time.Second            // how fast news fades
-	believed       = 0.5                    // weight of a server's own report while it is new
+	believed       = 0.3                    // weight of a server own report while it is new
+	serverFade     = 500 * time.Millisecond // and how fast it fades to the pool
 	ownFew         = 5.0                    // own attempts out that weigh as much as the reports
 	trust          = 0.5                    // share of the time in which the rest of a quota fills at its rate, that it is relied on
 	openFade       = 1.0                    // fading time of attempts out that were never taken back, in aims
@@ -66,7 +67,7 @@
 	patience       = 8.0                    // deviations above the mean latency that an attempt may take
 	smoothing      = 0.05                   // weight of a new latency
 	mostSlow       = 10.0                   // a server is taken to be slower by this at most
-	slownessWeight = 0.2                    // weight of one latency in a server's slowness
+	slownessWeight = 0.1                    // weight of one latency in a server's slowness
 	nameLife       = time.Minute            // life of a counter name
 	sweepAtOnce    = 20                     // customers looked at in a tick
 	customerTTL    = 60 * time.Second       // a customer idle for this long is forgotten
@@ -224,7 +225,7 @@
 	others += (float64(s.open)*n - others) / n
 	line := others*(n-1)/n + float64(s.open)
 	if s.heard > 0 {
-		line += (s.line - line) * believed * math.Exp(-(g.now-s.heard).Seconds()/linger.Seconds())
+		line += (s.line - line) * believed * math.Exp(-(g.now-s.heard).Seconds()/serverFade.Seconds())
 	}
 	return line
 }
