--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,8 +35,6 @@
 	probeDear      = 0.05                   // price of a probe a request above which none is sent
 	reportLife     = 4 * time.Second        // without reports for this long there are none
 	linger         = time.Second            // how fast news fades
-	believed       = 0.3                    // weight of a server own report while it is new
-	serverFade     = 500 * time.Millisecond // and how fast it fades to the pool
 	ownFew         = 5.0                    // own attempts out that weigh as much as the reports
 	trust          = 0.5                    // share of the time in which the rest of a quota fills at its rate, that it is relied on
 	openFade       = 1.0                    // fading time of attempts out that were never taken back, in aims
@@ -67,7 +65,7 @@
 	patience       = 8.0                    // deviations above the mean latency that an attempt may take
 	smoothing      = 0.05                   // weight of a new latency
 	mostSlow       = 10.0                   // a server is taken to be slower by this at most
-	slownessWeight = 0.1                    // weight of one latency in a server's slowness
+	slownessWeight = 0.03                   // weight of one latency in a server's slowness
 	nameLife       = time.Minute            // life of a counter name
 	sweepAtOnce    = 20                     // customers looked at in a tick
 	customerTTL    = 60 * time.Second       // a customer idle for this long is forgotten
@@ -125,8 +123,8 @@
 			r.streaming = true
 		}
 	case ProbeEnded:
-		if s := g.servers[e.Server]; s != nil && e.Outcome == OK {
-			g.report(s, e.Load)
+		if g.servers[e.Server] != nil && e.Outcome == OK {
+			g.report(e.Load)
 		}
 	case Counted:
 		g.counted(e)
@@ -166,9 +164,8 @@
 
 // 1. Sensor: how loaded the back end is.
 
-// report takes in a server's load: for the pool, and for the server while the news is fresh. Figures that no
-// server can have are not taken.
-func (g *Gateway) report(s *server, load []float64) {
+// report takes in a server's load. Figures that no server can have are not taken.
+func (g *Gateway) report(load []float64) {
 	for i, f := range g.set.LoadFields {
 		if i >= len(load) || anyBad(load[i]) {
 			continue
@@ -177,9 +174,7 @@
 		case FieldUtil:
 			g.sensor.use.add(min(load[i], mostUse), g.now)
 		case FieldInFlight:
-			line := min(load[i], mostLine)
-			g.sensor.line.add(line, g.now)
-			s.line, s.heard = line, g.now
+			g.sensor.line.add(min(load[i], mostLine), g.now)
 		}
 	}
 }
@@ -217,17 +212,13 @@
 	return g.sensor.took.value * (g.inLine() + 1) / g.sensor.place.value
 }
 
-// lineAt is the number of requests in work at one server: its own report counts while it is fresh, and what
-// this gateway has there.
+// lineAt is the number of requests in work at one server: the mean, and what this gateway has there. What a
+// server reported of itself is not used: many would go where the line was short.
 func (g *Gateway) lineAt(s *server) float64 {
 	n := float64(g.set.Gateways)
 	others := g.inLine()
 	others += (float64(s.open)*n - others) / n
-	line := others*(n-1)/n + float64(s.open)
-	if s.heard > 0 {
-		line += (s.line - line) * believed * math.Exp(-(g.now-s.heard).Seconds()/serverFade.Seconds())
-	}
-	return line
+	return others*(n-1)/n + float64(s.open)
 }
 
 // expect is what to expect of a new attempt at one server, as a share of its aim.
@@ -820,7 +811,7 @@
 	a := &r.attempts[e.Attempt]
 	s := a.server
 	g.close(r, e.Attempt)
-	g.report(s, e.Load)
+	g.report(e.Load)
 	class := g.set.Classes[r.class]
 	took := (g.now - a.sent).Seconds()
 	if e.Outcome == OK || e.Outcome == TimedOut {
--- a/choice/state.go
+++ b/choice/state.go
@@ -97,11 +97,9 @@
 	ServerEntry
 	open     int           // own attempts out
 	due      time.Duration // when an answer is overdue
-	line     float64       // requests in work as reported at heard (0: never)
-	heard    time.Duration
-	slowness float64  // latency in a place in line, relative to the fleet
-	health   []health // by class
-	cold     bool     // started at coldAt
+	slowness float64       // latency in a place in line, relative to the fleet
+	health   []health      // by class
+	cold     bool          // started at coldAt
 	coldAt   time.Duration
 }
 
