--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,7 +22,7 @@
 	leastAdmit     = 0.01                   // least f: a trickle that keeps the sensor alive
 	justBelow      = 0.95                   // set point, as a share of the load where servers refuse
 	mostOver       = 1.3                    // U is read up to this: a jam is not more urgent for being long
-	slowest        = 0.45                   // expected wait, as a share of the aim, that counts as full load
+	slowest        = 0.4                    // expected wait, as a share of the aim, that counts as full load
 	tooSlow        = 0.8                    // the same at which an attempt is not begun
 	fullUse        = 1.0                    // reported use of processors that counts as full load
 	mostBad        = 0.35                   // share of bad attempts that counts as full load
@@ -197,21 +197,10 @@
 	return a.value * math.Exp(-(now-a.at).Seconds()/max(linger.Seconds(), a.least*a.gap))
 }
 
-// atWork is the number of own attempts out. One that stays out for long fades: its answer is lost, or its server
-// hangs, and that is no load of the others.
-func (g *Gateway) atWork() float64 {
-	g.sensor.out *= math.Exp(-(g.now - g.sensor.outAt).Seconds() / g.fade())
-	g.sensor.outAt = g.now
-	return g.sensor.out
-}
-
-// fade is how fast an attempt out fades, in seconds.
-func (g *Gateway) fade() float64 { return max(tick.Seconds(), stallTimes*g.latency[0].mean) }
-
 // inLine is the number of requests in work at a server: what was reported lately, and what this gateway has out,
 // taken as its share. That is known at once but says little where it is few.
 func (g *Gateway) inLine() float64 {
-	told, out := g.sensor.line.now(g.now), g.atWork()
+	told, out := g.sensor.line.now(g.now), float64(g.open)
 	own := out * float64(g.set.Gateways) / float64(max(1, len(g.list)))
 	return told + (own-told)*out/(out+ownFew)
 }
@@ -789,9 +778,9 @@
 	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: (g.lineAt(s) + 1) / g.warmth(s), open: true})
 	r.customer.open++
 	if !slices.Contains(g.set.LoadFields, FieldInFlight) { // the line as this gateway's share of it tells
-		g.sensor.line.add(g.atWork()*float64(g.set.Gateways)/float64(max(1, len(g.list))), g.now)
+		g.sensor.line.add(float64(g.open*g.set.Gateways)/float64(max(1, len(g.list))), g.now)
 	}
-	g.sensor.out = g.atWork() + 1
+	g.open++
 	if s.open == 0 {
 		s.due = g.now + g.overdue(r.class)
 	}
@@ -825,7 +814,7 @@
 	g.report(e.Load)
 	class := g.set.Classes[r.class]
 	took := (g.now - a.sent).Seconds()
-	if e.Outcome == OK {
+	if e.Outcome == OK || e.Outcome == TimedOut {
 		g.learn(s, a, took/max(class.Aim, tick).Seconds())
 	}
 	if l := &g.latency[r.class]; e.Outcome == OK {
@@ -941,7 +930,7 @@
 func (g *Gateway) close(r *request, i int) {
 	if a := &r.attempts[i]; a.open {
 		a.open = false
-		g.sensor.out = max(0, g.atWork()-math.Exp(-(g.now-a.sent).Seconds()/g.fade()))
+		g.open--
 		a.server.open--
 		a.server.due = g.now + g.overdue(r.class)
 		c := r.customer
--- a/choice/state.go
+++ b/choice/state.go
@@ -33,6 +33,7 @@
 	latency   []latency // by class
 	failing   []average // share of attempts that failed, by class
 	budget    float64   // further attempts that may be made
+	open      int       // attempts out
 	turn      int       // of probing
 	swept     int       // place in roll
 	subscribe bool      // discovery is to be asked
@@ -43,8 +44,6 @@
 	sampled     time.Duration
 	line, use   average // requests in work at a server, and use of its processors, as reported
 	took, place average // latencies as shares of their aims, and the places in line that they were spent in
-	out         float64 // own attempts out, the older ones for less, as of outAt
-	outAt       time.Duration
 	bad         average // share of attempts that ended full, timed out or late
 }
 
