--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,8 +4,6 @@
 package choice
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -31,15 +29,15 @@
 	slower         = 4.0                    // multiple of that for what a place in line takes
 	firstShare     = 0.15                   // first guess of a latency, as a share of the aim
 	mostUse        = 1.2                    // reports above these are taken as these
-	mostLine       = 1000.0                 //
+	mostLine       = 1000.0                 // requests
 	probeDear      = 0.05                   // price of a probe a request above which none is sent
 	reportLife     = 4 * time.Second        // without reports for this long there are none
 	linger         = time.Second            // how fast news fades
 	ownFew         = 5.0                    // own attempts out that weigh as much as the reports
-	trust          = 0.5                    // share of the time in which the rest of a quota fills at its rate, that it is relied on
+	trust          = 0.5                    // how long the rest of a quota is relied on, in its times
 	openFade       = 1.0                    // fading time of attempts out that were never taken back, in aims
 	askedPart      = 0.35                   // share of a ceiling that may be passed on by asking alone
-	mostFades      = 45.0                   // fading times that a counter name lives: e to this is far from overflow
+	mostFades      = 45.0                   // life of a counter name in fading times, short of overflow
 	mostLife       = 50 * time.Second       // but no longer
 	mostWait       = 1.0                    // seconds until a customer beyond its quota is asked about again
 	addEvery       = 250 * time.Millisecond // how long use is kept before it is added
@@ -84,13 +82,16 @@
 	set.MostUnits = max(1, set.MostUnits)
 	set.Plans = append(slices.Clone(set.Plans), Plan{Price: 1}) // for plans that were not described
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: now, budget: retryBurst,
-		customers: map[string]*customer{}, asking: 1, calls: map[string][]call{}, servers: map[ServerID]*server{},
-		requests: map[RequestID]*request{}}
+		asking: 1, customers: map[string]*customer{}, calls: map[string][]call{},
+		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}}
+	few := average{least: fewest, window: window.Seconds(), fade: linger.Seconds(), at: now}
+	many := few
+	many.least *= slower
 	for _, c := range set.Classes {
-		g.failing = append(g.failing, average{least: fewest * slower, at: now})
-		g.latency = append(g.latency, latency{mean: c.Aim.Seconds() * firstShare, dev: c.Aim.Seconds() * firstShare})
+		g.failing = append(g.failing, many)
+		first := c.Aim.Seconds() * firstShare
+		g.latency = append(g.latency, latency{mean: first, dev: first})
 	}
-	few, many := average{least: fewest, at: now}, average{least: fewest * slower, at: now}
 	g.sensor = sensor{sampled: now, line: few, use: few, bad: few, took: many, place: many}
 	g.sensor.took.value, g.sensor.took.weight = firstShare, 1
 	g.sensor.place.value, g.sensor.place.weight = 1, 1
@@ -179,26 +180,8 @@
 	}
 }
 
-// add takes a value in. Older ones fade with time, but never below what the fewest would weigh: where few
-// events come, the window is as long as it takes to see some.
-func (a *average) add(x float64, now time.Duration) {
-	keep := max(math.Exp(-(now-a.at).Seconds()/window.Seconds()), 1-1/a.least)
-	a.weight = a.weight*keep + 1
-	if a.weight > 1 {
-		a.gap += ((now - a.at).Seconds() - a.gap) / min(a.weight, a.least)
-	}
-	a.value += (x - a.value) / a.weight
-	a.at = now
-}
-
-// now is the mean, fading while there is no news: who sends nothing hears nothing, and must not believe in a
-// jam for ever.
-func (a *average) now(now time.Duration) float64 {
-	return a.value * math.Exp(-(now-a.at).Seconds()/max(linger.Seconds(), a.least*a.gap))
-}
-
-// inLine is the number of requests in work at a server: what was reported lately, and what this gateway has out,
-// taken as its share. That is known at once but says little where it is few.
+// inLine is the number of requests in work at a server: what was reported lately, and what this gateway has
+// out, taken as its share. That is known at once but says little where it is few.
 func (g *Gateway) inLine() float64 {
 	told, out := g.sensor.line.now(g.now), float64(g.open)
 	own := out * float64(g.set.Gateways) / float64(max(1, len(g.list)))
@@ -290,19 +273,13 @@
 	}
 }
 
-// hash maps a customer to [0,1), alike at all gateways.
-func hash(id string) float64 {
-	sum := sha256.Sum256([]byte(id))
-	return float64(binary.BigEndian.Uint64(sum[:])>>11) / (1 << 53)
-}
-
 // 3. Quota: each customer's plan, shared by its gateways through the counter.
 
 // planIndex is the plan of a request; the last, without limits, is for those that were not described.
 func (g *Gateway) planIndex(p PlanID) int { return int(min(uint(p), uint(len(g.set.Plans)-1))) }
 
-// customer finds or makes the record. A new one gets the split of its burst, and of a ceiling the split of its
-// slack: it may have been drawn on until a moment ago.
+// customer finds or makes the record. A new one gets the split of its burst, and of a ceiling the split of
+// its slack: it may have been drawn on until a moment ago.
 func (g *Gateway) customer(e Arrived) *customer {
 	c := g.customers[e.Customer]
 	if c == nil {
@@ -339,8 +316,8 @@
 	return q
 }
 
-// settle fills the splits of a customer's stores up to now. Of a ceiling, a part is kept for what is passed on
-// by asking when the split is empty.
+// settle fills the splits of a customer's stores up to now. Of a ceiling, a part is kept for what is passed
+// on by asking when the split is empty.
 func (g *Gateway) settle(c *customer) {
 	dt, p, part := (g.now - c.at).Seconds(), g.set.Plans[c.plan], 1.0
 	if c.asks {
@@ -388,27 +365,23 @@
 	return g.asking == 1 || g.rng.Float64() < g.asking*worth
 }
 
-// standing is what a gateway knows of a try without asking.
-type standing int
-
-const (
-	unknown standing = iota
-	inside
-	beyond
-)
-
 // standing judges a try by what is known: beyond the quota, until the total last heard can have faded enough;
 // inside it, while others could not have used up the rest even at several times the rate.
 func (g *Gateway) standing(c *customer, units float64) standing {
 	p := g.set.Plans[c.plan]
-	switch left := c.quota.most - c.total/g.told.value - c.fresh - units; {
+	left := (c.quota.most - c.total/g.told.value - c.fresh - units) / c.quota.most
+	switch {
 	case p.Open > 0 && c.open >= p.Open:
 		return beyond
-	case !c.asks && (p.Rate == 0 || c.level >= units) && (p.Open == 0 || float64(c.open) < float64(p.Open)/c.spread):
+	case !c.asks:
+		if p.Rate > 0 && c.level < units || p.Open > 0 && float64(c.open) >= float64(p.Open)/c.spread {
+			return beyond
+		}
 		return inside
-	case !c.asks, g.now < c.next:
+	case g.now < c.next:
 		return beyond
-	case c.quota.rate > 0 && c.heard > 0 && (g.now-c.heard).Seconds() < trust*c.quota.fade*left/c.quota.most && c.ceilingHolds(p, units):
+	case c.quota.rate == 0 || c.heard == 0 || !c.ceilingHolds(p, units):
+	case (g.now - c.heard).Seconds() < trust*c.quota.fade*left:
 		return inside
 	}
 	return unknown
@@ -537,13 +510,6 @@
 	g.admit(k.r, in, true)
 }
 
-func one(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // sweep forgets customers long idle, a few at a time.
 func (g *Gateway) sweep() {
 	for range min(sweepAtOnce, len(g.roll)) {
@@ -613,8 +579,8 @@
 }
 
 // risk is how likely an attempt of a class fails at a server: what it did to the last ones, an overdue answer
-// counted as a failure, weighed against how often they fail anywhere. Where failures are rare, one tells much.
-// Where many servers fail a class, those that answered it stand out. What all suffer alike changes nothing.
+// counted as a failure, weighed against how often they fail anywhere. Where failures are rare, one tells
+// much. Where many servers fail a class, those that answered it stand out. What all suffer changes nothing.
 func (g *Gateway) risk(s *server, class ClassID) float64 {
 	h := &s.health[class]
 	keep := math.Exp(-(g.now - h.at).Seconds() / healthMemory.Seconds())
@@ -679,10 +645,6 @@
 	return best
 }
 
-func (r *request) triedAt(s *server) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
-}
-
 // inScope tells whether a server discards repeats of what r may have run already.
 func inScope(r *request, class Class, s *server) bool {
 	if class.Repeat != Keyed || r.ranAt == nil || class.Scope == ScopeAll {
@@ -775,7 +737,8 @@
 		g.end(r, true)
 		return false
 	}
-	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: (g.lineAt(s) + 1) / g.warmth(s), open: true})
+	place := (g.lineAt(s) + 1) / g.warmth(s)
+	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: place, open: true})
 	r.customer.open++
 	if !slices.Contains(g.set.LoadFields, FieldInFlight) { // the line as this gateway's share of it tells
 		g.sensor.line.add(float64(g.open*g.set.Gateways)/float64(max(1, len(g.list))), g.now)
@@ -899,13 +862,6 @@
 	g.drop(r)
 }
 
-// drop forgets an ended request once nothing of it is out.
-func (g *Gateway) drop(r *request) {
-	if !slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.open }) {
-		delete(g.requests, r.id)
-	}
-}
-
 // deadline is the backstop: an answer while the client still waits, and later an end to attempts never heard
 // of.
 func (g *Gateway) deadline(id RequestID) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,6 +1,8 @@
 package choice
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math"
@@ -52,9 +54,28 @@
 	value, weight float64
 	gap           float64 // seconds between values
 	least         float64 // events that it holds at least
+	window, fade  float64 // seconds
 	at            time.Duration
 }
 
+// add takes a value in. Older ones fade with time, but never below what the fewest would weigh: where few
+// events come, the window is as long as it takes to see some.
+func (a *average) add(x float64, now time.Duration) {
+	keep := max(math.Exp(-(now-a.at).Seconds()/a.window), 1-1/a.least)
+	a.weight = a.weight*keep + 1
+	if a.weight > 1 {
+		a.gap += ((now - a.at).Seconds() - a.gap) / min(a.weight, a.least)
+	}
+	a.value += (x - a.value) / a.weight
+	a.at = now
+}
+
+// now is the mean, fading while there is no news: who sends nothing hears nothing, and must not believe in a
+// jam for ever.
+func (a *average) now(now time.Duration) float64 {
+	return a.value * math.Exp(-(now-a.at).Seconds()/max(a.fade, a.least*a.gap))
+}
+
 // loop is the control of one priority class.
 type loop struct {
 	f     float64
@@ -84,6 +105,15 @@
 // quota is how the use of a plan's customers is counted; most is the faded total that it allows.
 type quota struct{ rate, burst, most, fade float64 }
 
+// standing is what a gateway knows of a try without asking.
+type standing int
+
+const (
+	unknown standing = iota
+	inside
+	beyond
+)
+
 // call is a counter call under way, and the request that waits for it, if any.
 type call struct {
 	c      *customer
@@ -137,6 +167,30 @@
 // latency is what attempts of a class take, in seconds, and how far they stray from it.
 type latency struct{ mean, dev float64 }
 
+// hash maps a customer to [0,1), alike at all gateways.
+func hash(id string) float64 {
+	sum := sha256.Sum256([]byte(id))
+	return float64(binary.BigEndian.Uint64(sum[:])>>11) / (1 << 53)
+}
+
+func one(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (r *request) triedAt(s *server) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
+}
+
+// drop forgets an ended request once nothing of it is out.
+func (g *Gateway) drop(r *request) {
+	if !slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.open }) {
+		delete(g.requests, r.id)
+	}
+}
+
 var errSettings = errors.New("choice: bad settings")
 
 // check finds settings that no deployment can mean.
