--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,7 +15,7 @@
 const (
 	tick           = 50 * time.Millisecond  // housekeeping; well under any aim
 	period         = 300 * time.Millisecond // T of the loops: several service times, few per trouble
-	margin         = 30.0                   // G, gain margin of the loops
+	margin         = 20.0                   // G, gain margin of the loops
 	offeredOver    = 2 * time.Second        // smoothing of the work asked for and granted
 	leastAdmit     = 0.01                   // least f: a trickle that keeps the sensor alive
 	justBelow      = 0.95                   // set point, as a share of the load where servers refuse
@@ -46,8 +46,8 @@
 	askMore        = 1.06                   // and after a good one
 	askFast        = 1.25                   // and when the last bad one is past
 	askCalm        = 4 * time.Second        // by this
-	blind          = 0.5                    // caution
-	memory         = 20 * time.Second       // over which a gateway remembers what was asked of it
+	blind          = 0.4                    // caution
+	memory         = 5 * time.Second        // over which a gateway remembers what was asked of it
 	prior          = 0.5                    // requests that the pool counts beside that
 	leastAsking    = 0.15                   // least chance of a call
 	otherZone      = 1.005                  // factor on the expected wait in another zone
