--- a/choice/choice.go
+++ b/choice/choice.go
@@ -458,7 +458,8 @@
 	if g.calls[e.Name] = line[1:]; len(line) == 1 {
 		delete(g.calls, e.Name)
 	}
-	c, ok := k.c, e.Outcome == OK && !anyBad(e.Total)
+	total := max(0, e.Total) // what was taken back may leave a trace below nothing
+	c, ok := k.c, e.Outcome == OK && !anyBad(total)
 	if e.Outcome == TimedOut || g.now-k.at > g.set.CounterTimeout/2 {
 		g.asking, g.crowded = max(leastAsking, g.asking*askSlow), g.now
 	} else if !ok {
@@ -483,7 +484,7 @@
 		g.admit(k.r, in, false)
 		return
 	}
-	c.total, c.heard = e.Total/k.weight, g.now
+	c.total, c.heard = total/k.weight, g.now
 	if k.r == nil || k.r.ended {
 		return
 	}
