--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -737,3 +737,227 @@
 		}
 	}
 }
+
+// counter is a counter as gateways share it.
+type counter map[string]float64
+
+func (c counter) call(a choice.Count) (choice.Outcome, float64) {
+	c[a.Name] += a.Amount
+	return choice.OK, c[a.Name]
+}
+
+// fleet starts gateways that share a counter.
+func fleet(t *testing.T, n int, set choice.Settings, at time.Duration, answer func(choice.Count) (choice.Outcome, float64),
+	servers ...choice.ServerEntry) []*bench {
+	set.Gateways = n
+	out := make([]*bench, n)
+	for i := range out {
+		set.Self = i
+		g, first, err := choice.New(set, uint64(i+1), at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out[i] = &bench{t: t, g: g, now: at, next: 1, tries: map[choice.RequestID]int{}, counter: answer}
+		out[i].take(first)
+		out[i].tell(choice.ServersChanged{Full: true, Cached: true, Entries: servers})
+	}
+	return out
+}
+
+// A customer that comes through a hundred gateways, each of which hardly ever sees it, gets its quota: all of
+// it, and not much more, whatever it asks. Per-gateway splits would give it nothing, or each a request.
+func TestQuotaOverAHundredGateways(t *testing.T) {
+	silentNow := func(choice.Count) (choice.Outcome, float64) { return choice.TimedOut, 0 }
+	cases := []struct {
+		name     string
+		asked    float64 // a second, for a minute
+		answer   func(choice.Count) (choice.Outcome, float64)
+		min, max int
+	}{
+		{"half the quota", 1, counter{}.call, 58, 60},
+		{"four times the quota", 8, counter{}.call, 110, 135},
+		{"sixteen times the quota", 32, counter{}.call, 110, 140},
+		{"sixteen times, counter silent", 32, silentNow, 0, 135},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			set := basic()
+			set.CounterTimeout = 80 * time.Millisecond
+			set.Plans = []choice.Plan{{Rate: 2, Burst: 8, Price: 1, OverCost: 1}}
+			gates := fleet(t, 100, set, time.Hour, c.answer, up(1, 2, 3, 4, 5, 6)...)
+			rng := rand.New(rand.NewPCG(1, 2))
+			sent := 0
+			for at := time.Hour; at < time.Hour+time.Minute; at += time.Duration(float64(time.Second) / c.asked) {
+				b := gates[rng.IntN(len(gates))]
+				b.until(at)
+				if id, s, ok := b.ask("a", 0, 100); ok {
+					sent++
+					b.wait(20 * time.Millisecond)
+					b.answer(id, s, choice.OK)
+				}
+			}
+			if sent < c.min || sent > c.max {
+				t.Errorf("%d of %v sent on, want %d to %d", sent, 60*c.asked, c.min, c.max)
+			}
+		})
+	}
+}
+
+// Attempts out are taken back when they end, and so is what was added for a try that was refused.
+func TestOpenCapOverManyGateways(t *testing.T) {
+	set := basic()
+	set.Plans = []choice.Plan{{Open: 3, Price: 1, OverCost: 1}}
+	shared := counter{}
+	gates := fleet(t, 40, set, time.Hour, shared.call, up(1, 2, 3, 4)...)
+	type try struct {
+		b  *bench
+		id choice.RequestID
+		s  choice.ServerID
+	}
+	for round := range 5 {
+		var out []try
+		for i := range 12 {
+			b := gates[(round*12+i)%len(gates)]
+			b.until(time.Hour + time.Duration(round)*100*time.Millisecond)
+			if id, s, ok := b.ask("a", 0, 40); ok {
+				out = append(out, try{b, id, s})
+			}
+		}
+		if len(out) != 3 {
+			t.Fatalf("round %d: %d attempts out of a cap of 3", round, len(out))
+		}
+		for _, o := range out {
+			o.b.answer(o.id, o.s, choice.OK)
+		}
+	}
+}
+
+// A ceiling holds while the counter is silent, from the first moment on, over all gateways together.
+func TestCeilingOverManyGatewaysWithoutCounter(t *testing.T) {
+	set := basic()
+	set.Plans = []choice.Plan{{Rate: 20, Burst: 40, Price: 1, OverCost: 1, CeilingRate: 40, CeilingBurst: 80, CeilingSlack: 8}}
+	gates := fleet(t, 40, set, time.Hour, silent, up(1, 2, 3, 4)...)
+	rng := rand.New(rand.NewPCG(3, 4))
+	level, last := 80.0, time.Hour
+	for at := time.Hour; at < time.Hour+20*time.Second; at += 2 * time.Millisecond {
+		b := gates[rng.IntN(len(gates))]
+		b.until(at)
+		level = min(80, level+40*(at-last).Seconds())
+		last = at
+		if id, s, ok := b.ask("a", 0, 40); ok {
+			if level--; level < -8 {
+				t.Fatalf("the ceiling is passed by %v after %v", -level, at-time.Hour)
+			}
+			b.answer(id, s, choice.OK)
+		}
+	}
+}
+
+// Many gateways hear of a cold server at once: their first sends together stay near its share by warmth.
+func TestColdServerAndManyGateways(t *testing.T) {
+	servers := up(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)
+	servers[9].Started = time.Hour
+	gates := fleet(t, 200, basic(), time.Hour, counter{}.call, servers...)
+	cold := 0
+	for i, b := range gates {
+		b.until(time.Hour + time.Duration(i)*time.Millisecond)
+		if _, s, ok := b.ask(fmt.Sprint("c", i), 0, 1); ok && s == 10 {
+			cold++
+		}
+	}
+	if cold > 10 { // 200 * 0.2/9.2 are 4
+		t.Errorf("the cold one got %d of the first 200", cold)
+	}
+}
+
+// Where failures are rare, one keeps a gateway away from a server that it meets seldom; a server that fails
+// one class goes on serving the others.
+func TestOneFailureTells(t *testing.T) {
+	set := basic()
+	set.Gateways = 100
+	b := start(t, set, 0, up(1, 2, 3, 4, 5, 6, 7, 8)...)
+	got := load(b, 1, 400, 200*time.Millisecond, func(s choice.ServerID) (time.Duration, choice.Outcome) {
+		if s == 1 {
+			return 300 * time.Millisecond, choice.Reset
+		}
+		return healthy()
+	})
+	if got[1] > 20 { // an equal share is 50
+		t.Errorf("a server that fails got %d of 400", got[1])
+	}
+}
+
+// A long line heard of once must not be believed for ever by a gateway that refuses all and hears no more.
+func TestOldLineFades(t *testing.T) {
+	set := basic()
+	set.LoadFields = []choice.LoadField{choice.FieldInFlight}
+	b := start(t, set, 0, up(1, 2)...)
+	for range 12 {
+		id, s, ok := b.ask("a", 0, 1)
+		b.wait(100 * time.Millisecond)
+		if ok {
+			b.tell(choice.AttemptEnded{Request: id, Server: s, Settled: true, Load: []float64{500}})
+		}
+	}
+	if _, _, ok := b.ask("a", 0, 1); ok {
+		t.Error("begun at a line of 500")
+	}
+	b.wait(20 * time.Second)
+	if _, _, ok := b.ask("a", 0, 1); !ok {
+		t.Error("refused 20 s after the last news")
+	}
+}
+
+func BenchmarkRequest(b *testing.B) {
+	for _, n := range []int{30, 100} {
+		b.Run(fmt.Sprint(n, " servers"), func(b *testing.B) {
+			set := basic()
+			set.Gateways = 300
+			var ids []choice.ServerID
+			for i := range n {
+				ids = append(ids, choice.ServerID(i+1))
+			}
+			g, _, _ := choice.New(set, 1, 0)
+			g.Handle(choice.ServersChanged{Full: true, Entries: up(ids...)}, 0)
+			names := make([]string, 4000)
+			for i := range names {
+				names[i] = fmt.Sprint("customer", i)
+			}
+			now := time.Duration(0)
+			for i := 0; b.Loop(); i++ {
+				now += 100 * time.Millisecond
+				id := choice.RequestID(i + 1)
+				for _, a := range g.Handle(choice.Arrived{Request: id, Customer: names[i%4000], Left: time.Second, Units: 1,
+					Spread: 200}, now) {
+					if c, ok := a.(choice.Count); ok {
+						for _, a := range g.Handle(choice.Counted{Name: c.Name, Total: c.Amount}, now) {
+							if s, ok := a.(choice.Send); ok {
+								g.Handle(choice.AttemptEnded{Request: id, Server: s.Server, Settled: true}, now)
+							}
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	set := basic()
+	set.Gateways = 300
+	g, _, _ := choice.New(set, 1, 0)
+	var ids []choice.ServerID
+	for i := range 100 {
+		ids = append(ids, choice.ServerID(i+1))
+	}
+	g.Handle(choice.ServersChanged{Full: true, Entries: up(ids...)}, 0)
+	for i := range 4000 {
+		g.Handle(choice.Arrived{Request: choice.RequestID(i + 1), Customer: fmt.Sprint(i), Left: time.Second, Units: 1,
+			Spread: 200}, 0)
+	}
+	now := time.Duration(0)
+	for b.Loop() {
+		now += 50 * time.Millisecond
+		g.Handle(choice.TimerFired{Timer: choice.Timer{Kind: choice.TickTimer}}, now)
+	}
+}
