--- a/choice/choice.go
+++ b/choice/choice.go
@@ -206,7 +206,7 @@
 
 // expect is what to expect of a new attempt at one server, as a share of its aim.
 func (g *Gateway) expect(s *server) float64 {
-	return g.sensor.took.value / g.sensor.place.value * (g.lineAt(s) + 1) * s.slowness / g.warmth(s)
+	return g.sensor.took.value / g.sensor.place.value * (g.lineAt(s) + 1) * s.slowness
 }
 
 // estimate gives U, where 1 is the load at which servers refuse or are too slow: halfway between the wait to
@@ -738,7 +738,7 @@
 		g.end(r, true)
 		return false
 	}
-	place := (g.lineAt(s) + 1) / g.warmth(s)
+	place := g.lineAt(s) + 1
 	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, place: place, open: true})
 	r.customer.open++
 	if !slices.Contains(g.set.LoadFields, FieldInFlight) { // the line as this gateway's share of it tells
