--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -961,3 +961,29 @@
 		g.Handle(choice.TimerFired{Timer: choice.Timer{Kind: choice.TickTimer}}, now)
 	}
 }
+
+// A spread of nothing, above the number of gateways or changing between requests never gives more than one gateway
+// alone would get, and a plan that changes neither.
+func TestOddSpreadsAndPlans(t *testing.T) {
+	set := basic()
+	set.Gateways = 10
+	set.Plans = []choice.Plan{{Rate: 2, Burst: 8, Price: 1, OverCost: 1}, {Rate: 4, Burst: 8, Price: 2, OverCost: 1}}
+	b := start(t, set, time.Hour, up(1, 2, 3)...)
+	b.counter = counter{}.call
+	sent := 0
+	for i := range 1000 {
+		b.wait(10 * time.Millisecond)
+		id := b.next
+		b.next++
+		for _, a := range b.tell(choice.Arrived{Request: id, Customer: "a", Plan: choice.PlanID(i % 2), Left: time.Second,
+			Units: 1, Spread: []int{0, 5, 1000, -3}[i%4]}) {
+			if a, ok := a.(choice.Send); ok {
+				sent++
+				b.answer(id, a.Server, choice.OK)
+			}
+		}
+	}
+	if sent < 8 || sent > 50 { // 8 at once and 2 to 4 a second
+		t.Errorf("%d sent on in 10 s", sent)
+	}
+}
