Refusals say why: beyond quota or no room

A front door has to answer 429 for the one and 503 for the other, and choice.Refuse did not tell them apart. Refuse gains Why; decisions are as before.

--- a/choice/api.go
+++ b/choice/api.go
@@ -236,10 +236,20 @@
 	Attempt int
 }
 
+// Why says what a request was refused for.
+type Why int
+
+// The reasons.
+const (
+	NoRoom    Why = iota // the back end has none for it in time
+	OverQuota            // its customer's plan allows no more now
+)
+
 // Refuse is a final answer that promises that a retry is harmless.
 type Refuse struct {
 	Request    RequestID
 	RetryAfter time.Duration // 0: no hint
+	Why        Why
 }
 
 // Fail is a final answer that promises nothing.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -504,6 +504,7 @@
 		}
 	}
 	if p := g.set.Plans[c.plan]; in && !c.ceilingHolds(p, units) && before+units > askedPart*p.CeilingBurst {
+		k.r.why = OverQuota
 		g.takeBack(k.r)
 		g.end(k.r, true)
 		return
@@ -702,14 +703,18 @@
 	p := g.set.Plans[c.plan]
 	l := &g.loops[g.rank[r.class][c.plan]]
 	if !inside {
-		l = &g.loops[len(g.loops)-1]
+		l, r.why = &g.loops[len(g.loops)-1], OverQuota
 		if p.OverWorth <= p.OverCost {
 			g.end(r, true)
 			return
 		}
 	}
 	l.asked += g.latency[r.class].mean
-	if c.hash >= l.f || !(told && inside) && !c.ceilingHolds(p, r.units) || !g.send(r) {
+	held := !(told && inside) && !c.ceilingHolds(p, r.units)
+	if held {
+		r.why = OverQuota
+	}
+	if c.hash >= l.f || held || !g.send(r) {
 		if told && inside {
 			g.takeBack(r)
 		}
@@ -855,8 +860,10 @@
 	}
 	promise := class.Repeat == Safe || !r.ran && !out || class.Repeat == Keyed && class.Scope == ScopeAll
 	switch {
+	case owed && promise && len(r.attempts) == 0:
+		g.do(Refuse{Request: r.id, Why: r.why})
 	case owed && promise:
-		g.do(Refuse{Request: r.id})
+		g.do(Refuse{Request: r.id, Why: NoRoom})
 	case owed:
 		g.do(Fail{Request: r.id})
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -162,6 +162,7 @@
 	name              string  // of the counter that its units were added to,
 	weight            float64 // each as so much
 	told              bool    // and they are there
+	why               Why     // what a refusal before any attempt would be for
 }
 
 // latency is what attempts of a class take, in seconds, and how far they stray from it.
