Stand-in box and tally keeper as pure models, one vocabulary of troubles

Boxes have cores, a queue, a cold start, discard keyed repeats and fall over; the keeper speaks enough of Redis for its clients. Faults are set while they run.

--- /dev/null
+++ b/standin/box.go
@@ -0,0 +1,328 @@
+// Package standin has the peers that a front door is tried against: boxes, the tally keeper and clients. They are
+// models: pure code fed with times and bytes, without I/O, clocks or goroutines, one owner each. Sockets and virtual
+// time run the same ones.
+package standin
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"sandyard/trouble"
+)
+
+// BoxConfig describes a box. The zero value of a field stands for its default.
+type BoxConfig struct {
+	Name           string
+	Cores          int           // that work at once; 2
+	Queue          int           // requests that wait beside those in work; beyond them 503 at once; 24
+	Work           time.Duration // mean work of a request on a warm core; 0 answers at once
+	Spread         float64       // coefficient of variation of the work
+	ColdShare      float64       // speed at the start, as a share of the warm one; 1
+	ColdTime       time.Duration // until it is warm
+	OverloadFactor float64       // work within OverloadTime of this multiple of what it can do then: it falls over
+	OverloadTime   time.Duration
+	KeyTTL         time.Duration // keyed repeats are discarded for so long
+	Body           int           // bytes of an answer's body; 64
+	Seed           uint64
+}
+
+func (c BoxConfig) orDefault() BoxConfig {
+	if c.Cores <= 0 {
+		c.Cores = 2
+	}
+	if c.Queue <= 0 {
+		c.Queue = 24
+	}
+	if !(c.ColdShare > 0) || c.ColdShare > 1 {
+		c.ColdShare = 1
+	}
+	if c.KeyTTL <= 0 {
+		c.KeyTTL = 10 * time.Second
+	}
+	if c.Body <= 0 {
+		c.Body = 64
+	}
+	return c
+}
+
+// Job is a request as a box sees it.
+type Job struct {
+	ID    string        // of the request, for the record
+	Key   string        // Idempotency-Key; "" for none
+	Work  time.Duration // 0: drawn
+	conn  *BoxConn
+	seq   uint64 // of the conn's requests
+	began time.Duration
+	ends  time.Duration
+	takes float64 // seconds of warm work
+}
+
+// Fact is something that happened at a box, for those who check the rules.
+type Fact struct {
+	At   time.Duration
+	Box  string
+	Kind FactKind
+	ID   string
+	Key  string
+}
+
+// FactKind says what a Fact is.
+type FactKind string
+
+// The kinds.
+const (
+	Received FactKind = "received" // a request is whole at the box
+	Ran      FactKind = "ran"      // its effect took place
+	Repeated FactKind = "repeated" // a keyed repeat was discarded
+	Fell     FactKind = "fell"     // the box fell over
+)
+
+// Box is a back-end server: cores that work on a queue, cold at its start, with faults to be set while it runs.
+// Work in progress at the change of a speed keeps the end it was given.
+type Box struct {
+	Facts func(Fact) // told of everything that happens; may be nil
+
+	cfg     BoxConfig
+	rng     *rand.Rand
+	started time.Duration
+	fell    bool
+	queue   []*Job
+	work    []*Job // at most cfg.Cores
+	late    []*Job // done, but their answers are delayed
+	keys    map[string]time.Duration
+	sweep   time.Duration
+	faults  map[trouble.Verb]float64
+	offered []load // of the last OverloadTime
+	busy    float64
+	seen    time.Duration
+	stalled time.Duration // since when, if so
+}
+
+type load struct {
+	at      time.Duration
+	seconds float64
+}
+
+// NewBox starts a box.
+func NewBox(cfg BoxConfig, now time.Duration) *Box {
+	return &Box{cfg: cfg.orDefault(), rng: rand.New(rand.NewPCG(cfg.Seed, 7)), started: now, seen: now,
+		keys: map[string]time.Duration{}, faults: map[trouble.Verb]float64{}}
+}
+
+// Set begins or ends a fault.
+func (b *Box) Set(now time.Duration, v trouble.Verb, value float64, on bool) {
+	if v == trouble.Stall {
+		switch {
+		case on && b.stalled == 0:
+			b.stalled = now
+		case !on && b.stalled > 0: // what was in work goes on where it was
+			for _, j := range append(b.work, b.late...) {
+				j.ends += now - b.stalled
+			}
+			b.stalled = 0
+		}
+	}
+	if on {
+		b.faults[v] = value
+	} else {
+		delete(b.faults, v)
+	}
+}
+
+func (b *Box) has(v trouble.Verb) bool { _, ok := b.faults[v]; return ok }
+
+// Refuses tells that connections are refused, and those there are closed.
+func (b *Box) Refuses() bool { return b.fell || b.has(trouble.Refuse) }
+
+// Fallen tells that the box fell over; it stays down.
+func (b *Box) Fallen() bool { return b.fell }
+
+// speed is how fast a core works, as a share of a warm one.
+func (b *Box) speed(now time.Duration) float64 {
+	s := 1.0
+	if b.cfg.ColdTime > 0 {
+		age := float64(now-b.started) / float64(b.cfg.ColdTime)
+		s = b.cfg.ColdShare + (1-b.cfg.ColdShare)*min(1, max(0, age))
+	}
+	if f, ok := b.faults[trouble.Slow]; ok && f > 0 {
+		s /= f
+	}
+	return s
+}
+
+func (b *Box) tell(now time.Duration, k FactKind, j *Job) {
+	if b.Facts != nil {
+		b.Facts(Fact{At: now, Box: b.cfg.Name, Kind: k, ID: j.ID, Key: j.Key})
+	}
+}
+
+// draw is the work of a request, lognormal about the mean.
+func (b *Box) draw() float64 {
+	mean := b.cfg.Work.Seconds()
+	if b.cfg.Spread <= 0 || mean == 0 {
+		return mean
+	}
+	s2 := math.Log(1 + b.cfg.Spread*b.cfg.Spread)
+	return mean * math.Exp(b.rng.NormFloat64()*math.Sqrt(s2)-s2/2)
+}
+
+// take begins a job, or answers it at once: status 0 means that it waits or works.
+func (b *Box) take(now time.Duration, j *Job) (status int) {
+	b.tell(now, Received, j)
+	if share, ok := b.faults[trouble.Fault]; ok && b.rng.Float64() < share {
+		return 500
+	}
+	if j.Key != "" {
+		if until, ok := b.keys[j.Key]; ok && now < until {
+			b.tell(now, Repeated, j)
+			return 200
+		}
+	}
+	if len(b.work) >= b.cfg.Cores && len(b.queue) >= b.cfg.Queue {
+		return 503
+	}
+	j.takes = b.draw()
+	if j.Work > 0 {
+		j.takes = j.Work.Seconds()
+	}
+	if b.overloaded(now, j.takes) {
+		b.fell = true
+		b.tell(now, Fell, j)
+		return 503
+	}
+	if j.Key != "" {
+		b.remember(now, j.Key)
+	}
+	if j.takes == 0 && len(b.faults) == 0 && len(b.queue) == 0 {
+		b.tell(now, Ran, j)
+		return 200
+	}
+	b.queue = append(b.queue, j)
+	b.begin(now)
+	return 0
+}
+
+func (b *Box) remember(now time.Duration, key string) {
+	b.keys[key] = now + b.cfg.KeyTTL
+	if now >= b.sweep {
+		b.sweep = now + b.cfg.KeyTTL
+		for k, until := range b.keys {
+			if now >= until {
+				delete(b.keys, k)
+			}
+		}
+	}
+}
+
+// overloaded counts what was asked of a cold box of late against what it could do meanwhile.
+func (b *Box) overloaded(now time.Duration, seconds float64) bool {
+	if b.cfg.OverloadFactor <= 0 || b.cfg.OverloadTime <= 0 || now-b.started >= b.cfg.ColdTime+b.cfg.OverloadTime {
+		b.offered = nil
+		return false
+	}
+	b.offered = append(b.offered, load{now, seconds})
+	sum := 0.0
+	first := len(b.offered)
+	for i := len(b.offered) - 1; i >= 0 && b.offered[i].at > now-b.cfg.OverloadTime; i-- {
+		sum, first = sum+b.offered[i].seconds, i
+	}
+	b.offered = b.offered[first:]
+	return sum > b.cfg.OverloadFactor*b.speed(now)*float64(b.cfg.Cores)*b.cfg.OverloadTime.Seconds()
+}
+
+// begin gives idle cores work.
+func (b *Box) begin(now time.Duration) {
+	if b.has(trouble.Hang) || b.stalled > 0 {
+		return
+	}
+	for len(b.work) < b.cfg.Cores && len(b.queue) > 0 {
+		j := b.queue[0]
+		b.queue = b.queue[1:]
+		j.began = now
+		j.ends = now + time.Duration(j.takes/b.speed(now)*float64(time.Second))
+		b.work = append(b.work, j)
+	}
+}
+
+// Next is when something ends; 0: nothing will by itself.
+func (b *Box) Next() time.Duration {
+	if b.stalled > 0 || b.fell {
+		return 0
+	}
+	var t time.Duration
+	if !b.has(trouble.Hang) {
+		for _, j := range b.work {
+			if t == 0 || j.ends < t {
+				t = j.ends
+			}
+		}
+	}
+	for _, j := range b.late {
+		if t == 0 || j.ends < t {
+			t = j.ends
+		}
+	}
+	return t
+}
+
+// Advance ends what is due. done is called for each job whose answer is to be sent.
+func (b *Box) Advance(now time.Duration, done func(*Job)) {
+	if b.stalled > 0 || b.fell {
+		return
+	}
+	for !b.has(trouble.Hang) {
+		b.begin(now)
+		i := -1
+		for k, j := range b.work {
+			if j.ends <= now && (i < 0 || j.ends < b.work[i].ends) {
+				i = k
+			}
+		}
+		if i < 0 {
+			break
+		}
+		j := b.work[i]
+		b.work = append(b.work[:i], b.work[i+1:]...)
+		b.tell(j.ends, Ran, j)
+		b.busy += (j.ends - j.began).Seconds()
+		if ms, ok := b.faults[trouble.Delay]; ok {
+			j.ends += time.Duration(ms * float64(time.Millisecond))
+			b.late = append(b.late, j)
+			continue
+		}
+		done(j)
+	}
+	for i := 0; i < len(b.late); {
+		if j := b.late[i]; j.ends <= now {
+			b.late = append(b.late[:i], b.late[i+1:]...)
+			done(j)
+		} else {
+			i++
+		}
+	}
+}
+
+// InFlight is how many requests the box holds.
+func (b *Box) InFlight() int { return len(b.queue) + len(b.work) + len(b.late) }
+
+// load is what the box reports: requests held, and the share of its cores in work.
+func (b *Box) load(now time.Duration) (inFlight, use float64) {
+	inFlight, use = float64(b.InFlight()), float64(len(b.work))/float64(b.cfg.Cores)
+	if f, ok := b.faults[trouble.Lie]; ok {
+		inFlight, use = inFlight*f, use*f
+	}
+	return inFlight, use
+}
+
+// withdraw drops a closed connection's waiting jobs; work that has begun goes on.
+func (b *Box) withdraw(c *BoxConn) {
+	kept := b.queue[:0]
+	for _, j := range b.queue {
+		if j.conn != c {
+			kept = append(kept, j)
+		}
+	}
+	clear(b.queue[len(kept):])
+	b.queue = kept
+}
--- /dev/null
+++ b/standin/boxconn.go
@@ -0,0 +1,163 @@
+package standin
+
+import (
+	"strconv"
+	"time"
+
+	"sandyard/internal/http1"
+	"sandyard/trouble"
+)
+
+// BoxConn is a connection to a stand-in box. It answers one request at a time, in order.
+type BoxConn struct {
+	Out   []byte // for the peer, to be written and cut off by the owner
+	Close bool   // the connection is to be closed once Out is written,
+	Abort bool   // with a reset
+
+	box    *Box
+	rd     *http1.Reader
+	stash  []byte
+	head   *http1.Head
+	body   int
+	waits  bool
+	seq    uint64
+	closed bool
+}
+
+// NewConn begins a connection.
+func (b *Box) NewConn() *BoxConn { return &BoxConn{box: b, rd: http1.NewRequests(http1.Limits{})} }
+
+const mostStash = 1 << 20
+
+// Feed takes bytes in.
+func (c *BoxConn) Feed(now time.Duration, in []byte) {
+	if c.waits {
+		if c.stash = append(c.stash, in...); len(c.stash) > mostStash {
+			c.Close = true
+		}
+		return
+	}
+	c.read(now, in)
+}
+
+func (c *BoxConn) read(now time.Duration, in []byte) {
+	for !c.waits && !c.Close {
+		n, part, err := c.rd.Feed(in)
+		in = in[n:]
+		if err != nil {
+			c.Out = append(c.Out, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"...)
+			c.Close = true
+			return
+		}
+		switch part.Kind {
+		case http1.More:
+			return
+		case http1.HeadEnd:
+			c.head, c.body = part.Head, 0
+			if part.Head.Continue && part.Head.Length != 0 {
+				c.Out = append(c.Out, "HTTP/1.1 100 Continue\r\n\r\n"...)
+			}
+		case http1.Data:
+			c.body += len(part.Data)
+		case http1.End:
+			c.whole(now)
+		}
+	}
+	c.stash = append(c.stash, in...)
+}
+
+// whole takes a request to the box. Two fields let a client say what it asks of the stand-in: X-Request-Id names the
+// request in the record, X-Work is the work in milliseconds.
+func (c *BoxConn) whole(now time.Duration) {
+	if c.head.Path == "/load" { // a probe: no work to speak of
+		if !c.box.has(trouble.Hang) && c.box.stalled == 0 {
+			c.answer(now, 200)
+		} else {
+			c.waits = true
+		}
+		return
+	}
+	j := &Job{conn: c, seq: c.seq}
+	j.ID, _ = c.head.Get("X-Request-Id")
+	j.Key, _ = c.head.Get("Idempotency-Key")
+	if v, ok := c.head.Get("X-Work"); ok {
+		if ms, err := strconv.ParseFloat(v, 64); err == nil && ms >= 0 && ms < 1e6 {
+			j.Work = time.Duration(ms * float64(time.Millisecond))
+		}
+	}
+	c.waits = true
+	if status := c.box.take(now, j); status != 0 {
+		c.answer(now, status)
+	}
+}
+
+// Done answers a job that the box has finished.
+func (c *BoxConn) Done(now time.Duration, j *Job) {
+	if c.closed || j.seq != c.seq {
+		return
+	}
+	c.answer(now, 200)
+	if !c.Close && len(c.stash) > 0 {
+		in := c.stash
+		c.stash = nil
+		c.read(now, in)
+	}
+}
+
+var filler = func() []byte {
+	b := make([]byte, 64<<10)
+	for i := range b {
+		b[i] = "clay and glaze, "[i%16]
+	}
+	return b
+}()
+
+func (c *BoxConn) answer(now time.Duration, status int) {
+	c.waits = false
+	c.seq++
+	box := c.box
+	if box.has(trouble.Lose) && status == 200 {
+		c.Close = true
+		return
+	}
+	at := len(c.Out)
+	size := box.cfg.Body
+	c.Out = http1.AppendStatus(c.Out, status, http1.StatusText(status))
+	c.Out = append(c.Out, "Content-Type: text/plain\r\n"...)
+	inFlight, use := box.load(now)
+	c.Out = append(c.Out, "endpoint-load-metrics: TEXT cpu_utilization="...)
+	c.Out = strconv.AppendFloat(c.Out, use, 'f', 3, 64)
+	c.Out = append(c.Out, ", named_metrics.in_flight="...)
+	c.Out = strconv.AppendFloat(c.Out, inFlight, 'f', -1, 64)
+	c.Out = append(c.Out, "\r\nX-Box: "...)
+	c.Out = append(c.Out, box.cfg.Name...)
+	c.Out = append(c.Out, '\r', '\n')
+	c.Out = http1.AppendLength(c.Out, int64(size))
+	if c.head.Close {
+		c.Close = true
+		c.Out = append(c.Out, "Connection: close\r\n"...)
+	}
+	c.Out = append(c.Out, '\r', '\n')
+	if c.head.Method != "HEAD" {
+		for size > 0 {
+			n := min(size, len(filler))
+			c.Out = append(c.Out, filler[:n]...)
+			size -= n
+		}
+	}
+	if after, ok := box.faults[trouble.Reset]; ok && status == 200 {
+		c.Out = c.Out[:at+min(len(c.Out)-at, int(after))]
+		c.Close, c.Abort = true, true
+	}
+}
+
+// Closed tells that the connection is gone.
+func (c *BoxConn) Closed() {
+	if !c.closed {
+		c.closed = true
+		c.box.withdraw(c)
+	}
+}
+
+// Conn is the connection that a job came on.
+func (j *Job) Conn() *BoxConn { return j.conn }
--- /dev/null
+++ b/standin/keeper.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"sandyard/internal/resp"
+	"sandyard/trouble"
+)
+
+// Keeper is the tally keeper: named numbers that can be added to and that expire. It speaks enough of Redis for its
+// clients: INCRBYFLOAT, PEXPIRE (with NX), PTTL, GET, DEL, DBSIZE, FLUSHALL, PING, ECHO, HELLO 2, CLIENT and SELECT 0.
+type Keeper struct {
+	totals map[string]total
+	sweep  time.Duration
+	faults map[trouble.Verb]float64
+	Calls  uint64 // INCRBYFLOATs that were counted
+}
+
+type total struct {
+	value   float64
+	expires time.Duration // 0: never
+}
+
+// NewKeeper starts an empty keeper.
+func NewKeeper() *Keeper {
+	return &Keeper{totals: map[string]total{}, faults: map[trouble.Verb]float64{}}
+}
+
+// Set begins or ends a fault. Empty happens at once.
+func (k *Keeper) Set(v trouble.Verb, value float64, on bool) {
+	switch {
+	case v == trouble.Empty && on:
+		clear(k.totals)
+	case on:
+		k.faults[v] = value
+	default:
+		delete(k.faults, v)
+	}
+}
+
+// Refuses tells that connections are refused, and those there are closed.
+func (k *Keeper) Refuses() bool { _, ok := k.faults[trouble.Refuse]; return ok }
+
+// Stalled tells that nothing is read.
+func (k *Keeper) Stalled() bool { _, ok := k.faults[trouble.Stall]; return ok }
+
+// Delay is how much later than at once answers go out.
+func (k *Keeper) Delay() time.Duration {
+	return time.Duration(k.faults[trouble.Delay] * float64(time.Millisecond))
+}
+
+// Total is a name's value, 0 if there is none.
+func (k *Keeper) Total(now time.Duration, name string) float64 { return k.get(now, name).value }
+
+func (k *Keeper) get(now time.Duration, name string) total {
+	t, ok := k.totals[name]
+	if ok && t.expires > 0 && now >= t.expires {
+		delete(k.totals, name)
+		return total{}
+	}
+	return t
+}
+
+// Names is how many names are held, expired ones that nobody has asked for included.
+func (k *Keeper) Names() int { return len(k.totals) }
+
+// KeeperConn is a connection to a stand-in keeper.
+type KeeperConn struct {
+	Out    []byte // for the peer, to be written and cut off by the owner
+	Close  bool
+	keeper *Keeper
+	rd     resp.Reader
+}
+
+// NewConn begins a connection.
+func (k *Keeper) NewConn() *KeeperConn { return &KeeperConn{keeper: k} }
+
+// Feed takes bytes in.
+func (c *KeeperConn) Feed(now time.Duration, b []byte) {
+	for !c.Close {
+		n, v, whole, err := c.rd.Feed(b)
+		b = b[n:]
+		if err != nil {
+			c.Out = resp.AppendError(c.Out, "ERR Protocol error: "+err.Error())
+			c.Close = true
+		}
+		if err != nil || !whole {
+			return
+		}
+		at := len(c.Out)
+		c.command(now, v)
+		if _, silent := c.keeper.faults[trouble.Silent]; silent {
+			c.Out = c.Out[:at]
+		}
+	}
+}
+
+func (c *KeeperConn) command(now time.Duration, v resp.Value) {
+	var args []string
+	for _, a := range v.Items {
+		if a.Type != resp.Bulk {
+			c.Out = resp.AppendError(c.Out, "ERR Protocol error: expected bulk strings")
+			c.Close = true
+			return
+		}
+		args = append(args, a.Str)
+	}
+	if len(args) == 0 {
+		if v.Type != resp.Array {
+			c.Out = resp.AppendError(c.Out, "ERR Protocol error: expected an array")
+			c.Close = true
+		}
+		return
+	}
+	name := strings.ToUpper(args[0])
+	known, ok := commands[name]
+	if !ok {
+		c.Out = resp.AppendError(c.Out, "ERR unknown command '"+printable(args[0])+"'")
+		return
+	}
+	if len(args) < known.least || known.most > 0 && len(args) > known.most {
+		c.Out = resp.AppendError(c.Out, "ERR wrong number of arguments for '"+strings.ToLower(name)+"' command")
+		return
+	}
+	k := c.keeper
+	if now >= k.sweep {
+		k.sweep = now + time.Second
+		for name := range k.totals {
+			k.get(now, name)
+		}
+	}
+	c.Out = known.run(k, now, c.Out, args)
+}
+
+func printable(s string) string {
+	out := []byte(s[:min(len(s), 64)])
+	for i := range out {
+		if out[i] < 0x20 || out[i] > 0x7e {
+			out[i] = '?'
+		}
+	}
+	return string(out)
+}
+
+type command struct {
+	least, most int // arguments, the name included; most 0: any
+	run         func(k *Keeper, now time.Duration, out []byte, args []string) []byte
+}
+
+var commands map[string]command
+
+func init() { // not a literal: some commands look at others
+	ok := func(_ *Keeper, _ time.Duration, out []byte, _ []string) []byte { return resp.AppendSimple(out, "OK") }
+	commands = map[string]command{
+		"INCRBYFLOAT": {3, 3, incr},
+		"PEXPIRE":     {3, 4, pexpire},
+		"PTTL": {2, 2, func(k *Keeper, now time.Duration, out []byte, a []string) []byte {
+			t := k.get(now, a[1])
+			switch _, ok := k.totals[a[1]]; {
+			case !ok:
+				return resp.AppendInt(out, -2)
+			case t.expires == 0:
+				return resp.AppendInt(out, -1)
+			}
+			return resp.AppendInt(out, int64((t.expires-now)/time.Millisecond))
+		}},
+		"GET": {2, 2, func(k *Keeper, now time.Duration, out []byte, a []string) []byte {
+			t := k.get(now, a[1])
+			if _, ok := k.totals[a[1]]; !ok {
+				return resp.AppendNull(out)
+			}
+			return resp.AppendBulk(out, format(t.value))
+		}},
+		"DEL": {2, 0, func(k *Keeper, now time.Duration, out []byte, a []string) []byte {
+			n := int64(0)
+			for _, name := range a[1:] {
+				k.get(now, name)
+				if _, ok := k.totals[name]; ok {
+					delete(k.totals, name)
+					n++
+				}
+			}
+			return resp.AppendInt(out, n)
+		}},
+		"DBSIZE": {1, 1, func(k *Keeper, _ time.Duration, out []byte, _ []string) []byte {
+			return resp.AppendInt(out, int64(len(k.totals)))
+		}},
+		"FLUSHALL": {1, 2, func(k *Keeper, _ time.Duration, out []byte, _ []string) []byte {
+			clear(k.totals)
+			return resp.AppendSimple(out, "OK")
+		}},
+		"PING": {1, 2, func(_ *Keeper, _ time.Duration, out []byte, a []string) []byte {
+			if len(a) == 2 {
+				return resp.AppendBulk(out, a[1])
+			}
+			return resp.AppendSimple(out, "PONG")
+		}},
+		"ECHO": {2, 2, func(_ *Keeper, _ time.Duration, out []byte, a []string) []byte {
+			return resp.AppendBulk(out, a[1])
+		}},
+		"HELLO": {1, 0, func(_ *Keeper, _ time.Duration, out []byte, a []string) []byte {
+			if len(a) > 1 && a[1] != "2" {
+				return resp.AppendError(out, "NOPROTO unsupported protocol version")
+			}
+			out = append(out, "*6\r\n"...)
+			for _, s := range [...]string{"server", "sandyard-standin", "proto"} {
+				out = resp.AppendBulk(out, s)
+			}
+			return resp.AppendBulk(resp.AppendBulk(resp.AppendInt(out, 2), "mode"), "standalone")
+		}},
+		"CLIENT": {2, 0, ok},
+		"SELECT": {2, 2, func(_ *Keeper, _ time.Duration, out []byte, a []string) []byte {
+			if a[1] != "0" {
+				return resp.AppendError(out, "ERR DB index is out of range")
+			}
+			return resp.AppendSimple(out, "OK")
+		}},
+	}
+}
+
+func format(x float64) string { return strconv.FormatFloat(x, 'f', -1, 64) }
+
+func incr(k *Keeper, now time.Duration, out []byte, a []string) []byte {
+	by, err := strconv.ParseFloat(a[2], 64)
+	t := k.get(now, a[1])
+	sum := t.value + by
+	if err != nil || math.IsNaN(sum) || math.IsInf(sum, 0) {
+		return resp.AppendError(out, "ERR value is not a valid float")
+	}
+	t.value = sum
+	k.totals[a[1]] = t
+	k.Calls++
+	return resp.AppendBulk(out, format(sum))
+}
+
+func pexpire(k *Keeper, now time.Duration, out []byte, a []string) []byte {
+	ms, err := strconv.ParseInt(a[2], 10, 64)
+	if err != nil || ms > math.MaxInt64/int64(time.Millisecond)/2 {
+		return resp.AppendError(out, "ERR value is not an integer or out of range")
+	}
+	if len(a) == 4 && !strings.EqualFold(a[3], "NX") {
+		return resp.AppendError(out, "ERR Unsupported option "+printable(a[3]))
+	}
+	t := k.get(now, a[1])
+	if _, ok := k.totals[a[1]]; !ok || len(a) == 4 && t.expires > 0 {
+		return resp.AppendInt(out, 0)
+	}
+	if ms <= 0 {
+		delete(k.totals, a[1])
+		return resp.AppendInt(out, 1)
+	}
+	t.expires = now + time.Duration(ms)*time.Millisecond
+	k.totals[a[1]] = t
+	return resp.AppendInt(out, 1)
+}
