--- /dev/null
+++ b/internal/sockets/client.go
@@ -0,0 +1,192 @@
+package sockets
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"sandyard/door"
+)
+
+const (
+	lingerTime  = time.Second // how long a client that still sends is read after its last answer
+	lingerBytes = 256 << 10   // and how much
+	mostPending = 64 << 10    // bytes that a client has not taken; a flowing answer pauses there
+)
+
+// clientConn is a client's connection. Whoever holds mu owns the machine.
+type clientConn struct {
+	s    *Server
+	link *link
+
+	mu     sync.Mutex
+	resume sync.Cond // signalled when reading may go on
+	m      *door.Client
+	armed  time.Duration // the read deadline that is set, 0: none
+	closed bool          // the last bytes are out
+	linger bool
+}
+
+func (s *Server) newClient(conn *net.TCPConn) (*clientConn, error) {
+	l, err := newLink(conn, time.Duration(s.cfg.Limits.WriteTimeout))
+	if err != nil {
+		return nil, err
+	}
+	cc := &clientConn{s: s, link: l}
+	cc.resume.L = &cc.mu
+	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	cc.m = door.NewClient(s.shared, cc, host, s.now())
+	l.flushed = cc.flushed
+	return cc, nil
+}
+
+// run reads until the connection is over.
+func (cc *clientConn) run() {
+	defer cc.link.done()
+	defer cc.link.close()
+	for {
+		cc.mu.Lock()
+		for (!cc.m.Room() || cc.link.pending() > mostPending) && !cc.closed && !cc.link.broken() {
+			cc.resume.Wait()
+		}
+		cc.arm()
+		closed := cc.closed
+		cc.mu.Unlock()
+		if closed {
+			cc.drain()
+			return
+		}
+		b, err := cc.link.read()
+		now := cc.s.now()
+		cc.mu.Lock()
+		switch {
+		case isTimeout(err) && !cc.link.broken():
+			cc.armed = 0
+			cc.m.Expired(now)
+			cc.after(now, nil)
+		case err != nil:
+			ex := cc.m.Gone()
+			cc.closed = true
+			cc.mu.Unlock()
+			if ex != nil {
+				cc.s.post(post{kind: leave, ex: ex})
+			}
+			return
+		default:
+			cc.after(now, cc.m.Feed(now, b))
+		}
+		cc.mu.Unlock()
+	}
+}
+
+// drain reads what a client still sends after its last answer, since closing on it could take the answer along.
+func (cc *clientConn) drain() {
+	cc.mu.Lock()
+	linger := cc.linger
+	cc.mu.Unlock()
+	cc.link.conn.CloseWrite()
+	if !linger || cc.link.broken() {
+		return
+	}
+	cc.link.conn.SetReadDeadline(time.Now().Add(lingerTime))
+	for left := lingerBytes; left > 0; {
+		b, err := cc.link.read()
+		if err != nil {
+			return
+		}
+		left -= len(b)
+	}
+}
+
+// arm sets the read deadline when the one that is set would come too late. One that comes too early is looked at
+// when it comes; so a busy connection sets none from request to request.
+func (cc *clientConn) arm() {
+	d := cc.m.Deadline()
+	if d != 0 && (cc.armed == 0 || cc.armed > d) {
+		cc.armed = d
+		cc.link.conn.SetReadDeadline(cc.s.start.Add(d - door.Start))
+	}
+}
+
+// after carries out what the machine wants; mu is held.
+func (cc *clientConn) after(now time.Duration, ex *door.Exchange) {
+	for {
+		if ex != nil && !cc.s.post(post{kind: arrive, ex: ex}) {
+			cc.m.TurnAway(now, ex)
+		} else if ex != nil {
+			break
+		}
+		if len(cc.m.Out) > 0 {
+			cc.link.write(cc.m.Out)
+			if cc.m.Out = cc.m.Out[:0]; cap(cc.m.Out) > 16<<10 {
+				cc.m.Out = nil
+			}
+		}
+		if cc.link.pending() > 0 { // the flusher goes on
+			break
+		}
+		if cc.finished() {
+			return
+		}
+		if ex = cc.m.Resume(now); ex == nil && len(cc.m.Out) == 0 {
+			if cc.finished() {
+				return
+			}
+			break
+		}
+	}
+	cc.arm()
+	cc.resume.Signal()
+}
+
+// finished tells whether the connection is over, and lets its reader know; mu is held and nothing is unwritten.
+func (cc *clientConn) finished() bool {
+	closes, linger := cc.m.Closing()
+	if !closes || len(cc.m.Out) > 0 {
+		return false
+	}
+	if !cc.closed {
+		cc.closed, cc.linger = true, linger
+		cc.link.conn.SetReadDeadline(time.Unix(1, 0))
+		cc.resume.Signal()
+	}
+	return true
+}
+
+// flushed goes on once a slow client has taken what was kept for it.
+func (cc *clientConn) flushed() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.link.broken() {
+		cc.resume.Signal()
+		return
+	}
+	cc.after(cc.s.now(), nil)
+}
+
+// answered hands an answer, or its beginning, to the client.
+func (cc *clientConn) answered(now time.Duration, ex *door.Exchange, b []byte, more, closes bool) {
+	cc.mu.Lock()
+	cc.m.Answered(now, ex, b, more, closes)
+	cc.after(now, nil)
+	cc.mu.Unlock()
+}
+
+// relay hands on more of an answer and waits until the client has taken enough of it.
+func (cc *clientConn) relay(now time.Duration, ex *door.Exchange, b []byte, end, broken bool) {
+	cc.mu.Lock()
+	cc.m.Relay(now, ex, b, end, broken)
+	cc.after(now, nil)
+	cc.mu.Unlock()
+	if !end && !broken {
+		cc.link.waitRoom(mostPending)
+	}
+}
+
+// shut closes the connection when it is idle, or after its answer.
+func (cc *clientConn) shut() {
+	cc.mu.Lock()
+	cc.m.Drain()
+	cc.after(cc.s.now(), nil)
+	cc.mu.Unlock()
+}
--- /dev/null
+++ b/internal/sockets/line.go
@@ -0,0 +1,174 @@
+package sockets
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"sandyard/door"
+)
+
+// lineConn is a connection to a box. Whoever holds mu owns the machine.
+type lineConn struct {
+	s      *Server
+	line   *door.Line
+	cancel context.CancelFunc
+	grant  chan bool // a begun answer may flow, or is not wanted
+
+	mu   sync.Mutex
+	m    *door.BoxConn
+	link *link
+	ex   *door.Exchange // whose answer is awaited
+	dead bool           // closed, or its end was told
+}
+
+func (s *Server) dial(l *door.Line) {
+	ctx, cancel := context.WithTimeout(s.hard, time.Duration(s.cfg.Limits.ConnectTimeout))
+	lc := &lineConn{s: s, line: l, cancel: cancel, m: door.NewBoxConn(s.shared), grant: make(chan bool, 1)}
+	l.Owner = lc
+	s.conns.Go(func() error {
+		defer cancel()
+		lc.run(ctx)
+		return nil
+	})
+}
+
+// dialTCP connects, and hands over what can be written without blocking.
+func dialTCP(ctx context.Context, addr string, timeout time.Duration) (*link, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	l, err := newLink(conn.(*net.TCPConn), timeout)
+	if err != nil {
+		conn.Close()
+	}
+	return l, err
+}
+
+func (lc *lineConn) run(ctx context.Context) {
+	l, err := dialTCP(ctx, lc.line.Addr, time.Duration(lc.s.cfg.Limits.WriteTimeout))
+	if err != nil {
+		lc.lost(true)
+		return
+	}
+	lc.mu.Lock()
+	if lc.dead {
+		lc.mu.Unlock()
+		l.close()
+		return
+	}
+	lc.link = l
+	lc.mu.Unlock()
+	lc.s.post(post{kind: lineUp, line: lc.line})
+	defer l.close()
+	defer l.done()
+	for lc.turn(l) {
+	}
+}
+
+// turn reads once and hands on what came; false ends the connection.
+func (lc *lineConn) turn(l *link) bool {
+	b, err := l.read()
+	lc.mu.Lock()
+	if lc.dead {
+		lc.mu.Unlock()
+		return false
+	}
+	ex := lc.ex
+	var a door.Answer
+	switch {
+	case err == io.EOF && ex != nil:
+		a = lc.m.EOF()
+	case err != nil:
+		lc.mu.Unlock()
+		lc.lost(false)
+		return false
+	default:
+		a = lc.m.Feed(b)
+	}
+	if a.Kind == door.Whole || a.Kind == door.Over || a.Kind == door.Broken {
+		lc.ex = nil
+	}
+	if a.Kind == door.Broken {
+		lc.dead = true
+	}
+	lc.mu.Unlock()
+	switch a.Kind {
+	case door.Nothing:
+	case door.Whole:
+		lc.s.post(post{kind: answer, line: lc.line, answer: a})
+	case door.Begun:
+		lc.s.post(post{kind: answer, line: lc.line, answer: a})
+		select {
+		case ok := <-lc.grant:
+			if !ok {
+				return false
+			}
+		case <-lc.s.hard.Done():
+			return false
+		}
+		l.conn.SetReadDeadline(time.Now().Add(time.Duration(lc.s.cfg.Limits.StreamSilence)))
+	case door.Flow:
+		ex.Owner.(*clientConn).relay(lc.s.now(), ex, a.Bytes, false, false)
+		l.conn.SetReadDeadline(time.Now().Add(time.Duration(lc.s.cfg.Limits.StreamSilence)))
+	case door.Over:
+		l.conn.SetReadDeadline(time.Time{})
+		ex.Owner.(*clientConn).relay(lc.s.now(), ex, a.Bytes, true, false)
+		lc.s.post(post{kind: answer, line: lc.line, answer: a})
+	case door.Broken:
+		lc.s.post(post{kind: answer, line: lc.line, answer: a})
+		return false
+	}
+	return err == nil
+}
+
+// lost tells the core of the connection's end, once.
+func (lc *lineConn) lost(unsent bool) {
+	lc.mu.Lock()
+	told := lc.dead
+	lc.dead = true
+	unsent = unsent || lc.ex == nil
+	lc.mu.Unlock()
+	if !told {
+		lc.s.post(post{kind: lineDown, line: lc.line, unsent: unsent})
+	}
+}
+
+// write sends a request; it never blocks.
+func (lc *lineConn) write(ex *door.Exchange) {
+	lc.mu.Lock()
+	if lc.dead { // its end is on its way to the core, as that of a line on which nothing was sent
+		lc.mu.Unlock()
+		return
+	}
+	lc.m.Expect(ex)
+	lc.ex = ex
+	none := lc.link.write(ex.Wire)
+	if none {
+		lc.dead = true
+	}
+	lc.mu.Unlock()
+	if none {
+		lc.s.post(post{kind: lineDown, line: lc.line, unsent: true})
+		lc.link.close()
+	}
+}
+
+// hang closes the connection; nothing more is told of it.
+func (lc *lineConn) hang() {
+	lc.mu.Lock()
+	lc.dead, lc.ex = true, nil
+	l := lc.link
+	lc.mu.Unlock()
+	lc.cancel()
+	select {
+	case lc.grant <- false:
+	default:
+	}
+	if l != nil {
+		l.close()
+	}
+}
--- /dev/null
+++ b/internal/sockets/server.go
@@ -0,0 +1,423 @@
+package sockets
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sandyard/config"
+	"sandyard/door"
+)
+
+// Server is one front door on sockets.
+type Server struct {
+	cfg    *config.Config
+	at     map[string]string
+	shared *door.Shared
+	log    *slog.Logger
+	start  time.Time // the clock's origin, with its monotonic reading
+	core   *door.Core
+	ln     *net.TCPListener
+	hard   context.Context // ends when connections are to be closed
+	end    context.CancelFunc
+	conns  errgroup.Group // goroutines of connections
+	keeper *keeperConn
+	debug  bool
+
+	mu     sync.Mutex
+	queue  []post
+	asleep bool
+	gone   bool // the loop has ended
+	room   sync.Cond
+	wake   chan struct{}
+
+	listMu  sync.Mutex
+	cmu     sync.Mutex
+	clients map[*clientConn]struct{}
+}
+
+// kind says what a post tells the core.
+type kind uint8
+
+const (
+	arrive kind = iota
+	leave
+	lineUp
+	lineDown
+	answer
+	keeperUp
+	keeperDown
+	keeperBytes
+	list
+	listFailed
+)
+
+// post is a message to the goroutine that owns the core.
+type post struct {
+	kind   kind
+	unsent bool
+	ex     *door.Exchange
+	line   *door.Line
+	answer door.Answer
+	keeper *keeperConn
+	bytes  []byte
+	boxes  []config.Box
+}
+
+// Options are what a server may be told beside its configuration.
+type Options struct {
+	Seed uint64
+	Log  *slog.Logger
+	// Addresses are those of boxes that are elsewhere than the list says, by name.
+	Addresses map[string]string
+}
+
+// Listen builds a front door on an address; Serve runs it.
+func Listen(cfg *config.Config, addr string, opt Options) (*Server, error) {
+	s := &Server{cfg: cfg, log: opt.Log, at: opt.Addresses, start: time.Now(), wake: make(chan struct{}, 1),
+		clients: map[*clientConn]struct{}{},
+		shared:  &door.Shared{Config: cfg, Via: fmt.Sprintf("sandyard-%d", cfg.Door.Number)}}
+	s.room.L = &s.mu
+	s.debug = s.log.Enabled(context.Background(), slog.LevelDebug)
+	core, err := door.NewCore(s.shared, opt.Seed, door.Start)
+	if err != nil {
+		return nil, err
+	}
+	s.core = core
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s.ln = ln.(*net.TCPListener)
+	s.hard, s.end = context.WithCancel(context.Background())
+	return s, nil
+}
+
+// Addr is where the front door listens.
+func (s *Server) Addr() net.Addr { return s.ln.Addr() }
+
+// now is the front door's time. It follows the monotonic clock: steps of the machine's clock don't touch it.
+func (s *Server) now() time.Duration { return door.Start + time.Since(s.start) }
+
+// post queues a message. It never blocks. Only arrivals can be turned down, when limits.queue messages wait: what
+// ends work must always get through, and is bounded by the work there is.
+func (s *Server) post(p post) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone || p.kind == arrive && len(s.queue) >= s.cfg.Limits.Queue {
+		return false
+	}
+	s.queue = append(s.queue, p)
+	if s.asleep {
+		s.asleep = false
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	}
+	return true
+}
+
+// Serve runs until ctx ends, then shuts down: it accepts no more, answers what it holds, and returns nil.
+func (s *Server) Serve(ctx context.Context) error {
+	defer s.end()
+	defer s.ln.Close()
+	g, gctx := errgroup.WithContext(ctx)
+	stopLoop := make(chan struct{})
+	watch, err := s.watchList()
+	if err != nil {
+		return err
+	}
+	loopDone := make(chan struct{})
+	go func() { // owned by this call, which waits for it
+		defer close(loopDone)
+		s.loop(stopLoop)
+	}()
+	g.Go(func() error { return watch(gctx) })
+	g.Go(s.accept)
+	g.Go(func() error {
+		<-gctx.Done()
+		s.ln.Close()
+		s.mu.Lock()
+		s.room.Broadcast()
+		s.mu.Unlock()
+		return nil
+	})
+	err = g.Wait()
+	s.drain()
+	close(stopLoop)
+	<-loopDone
+	s.end()
+	s.closeClients()
+	s.conns.Wait()
+	if errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	st := s.core.Stats
+	s.log.Info("stopped", "arrived", st.Arrived, "served", st.Served, "refused_quota", st.RefusedQuota,
+		"refused_room", st.RefusedRoom, "failed", st.Failed, "left", st.Left, "broken", st.Broken,
+		"attempts", st.Attempts, "dials", st.Dials, "keeper_calls", st.KeeperCalls)
+	return err
+}
+
+// accept takes connections. Where the machine has no descriptors left it waits for some: clients wait in the
+// backlog, and those that are in go on.
+func (s *Server) accept() error {
+	wait := 5 * time.Millisecond
+	for {
+		s.mu.Lock()
+		for len(s.queue) >= s.cfg.Limits.Queue/2 && !s.gone && s.hard.Err() == nil {
+			s.room.Wait() // accepting stops first
+		}
+		s.mu.Unlock()
+		conn, err := s.ln.AcceptTCP()
+		if err != nil {
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+				errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ECONNABORTED) {
+				s.log.Warn("accept", "error", err, "again_in", wait.String())
+				select {
+				case <-time.After(wait):
+				case <-s.hard.Done():
+				}
+				wait = min(2*wait, time.Second)
+				continue
+			}
+			return err
+		}
+		wait = 5 * time.Millisecond
+		if s.shared.Clients.Add(1) > int64(s.cfg.Limits.Connections) {
+			s.conns.Go(func() error {
+				defer s.shared.Clients.Add(-1)
+				turnAway(conn)
+				return nil
+			})
+			continue
+		}
+		cc, err := s.newClient(conn)
+		if err != nil {
+			s.shared.Clients.Add(-1)
+			conn.Close()
+			continue
+		}
+		s.cmu.Lock()
+		s.clients[cc] = struct{}{}
+		s.cmu.Unlock()
+		s.conns.Go(func() error {
+			cc.run()
+			s.cmu.Lock()
+			delete(s.clients, cc)
+			s.cmu.Unlock()
+			s.shared.Clients.Add(-1)
+			return nil
+		})
+	}
+}
+
+// turnAway answers a connection beyond the limit.
+func turnAway(conn *net.TCPConn) {
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(lingerTime))
+	if _, err := conn.Write(door.Busy()); err != nil {
+		return
+	}
+	conn.CloseWrite()
+	var b [512]byte
+	for range 16 {
+		if _, err := conn.Read(b[:]); err != nil {
+			return
+		}
+	}
+}
+
+// drain waits until all that is held is answered, or limits.shutdown-timeout is over.
+func (s *Server) drain() {
+	s.shared.BeginDrain()
+	limit := time.NewTimer(time.Duration(s.cfg.Limits.ShutdownTimeout))
+	defer limit.Stop()
+	for {
+		s.cmu.Lock()
+		open := make([]*clientConn, 0, len(s.clients))
+		for cc := range s.clients {
+			open = append(open, cc)
+		}
+		s.cmu.Unlock()
+		if len(open) == 0 {
+			return
+		}
+		for _, cc := range open {
+			cc.shut()
+		}
+		select {
+		case <-limit.C:
+			s.log.Warn("shutdown: clients left without their answer's end", "connections", len(open))
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (s *Server) closeClients() {
+	s.cmu.Lock()
+	defer s.cmu.Unlock()
+	for cc := range s.clients {
+		cc.link.close()
+		cc.mu.Lock()
+		cc.resume.Signal()
+		cc.mu.Unlock()
+	}
+}
+
+// loop owns the core.
+func (s *Server) loop(stop <-chan struct{}) {
+	s.carryOut()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var batch []post
+	for {
+		s.mu.Lock()
+		batch, s.queue = s.queue, batch[:0]
+		s.asleep = len(batch) == 0
+		if len(batch) >= s.cfg.Limits.Queue/2 {
+			s.room.Broadcast()
+		}
+		s.mu.Unlock()
+		now := s.now()
+		for i := range batch {
+			s.tell(now, &batch[i])
+			batch[i] = post{}
+		}
+		if s.core.Next() <= now {
+			s.core.Tick(now)
+			s.carryOut()
+		}
+		if len(batch) > 0 {
+			continue
+		}
+		timer.Reset(max(0, s.core.Next()-s.now()))
+		select {
+		case <-s.wake:
+		case <-timer.C:
+		case <-stop:
+			s.mu.Lock()
+			s.gone = true
+			s.room.Broadcast()
+			s.mu.Unlock()
+			s.core.Stop(s.now())
+			s.carryOut()
+			return
+		}
+	}
+}
+
+func (s *Server) tell(now time.Duration, p *post) {
+	c := s.core
+	switch p.kind {
+	case arrive:
+		c.Arrive(now, p.ex)
+	case leave:
+		c.Leave(now, p.ex)
+	case lineUp:
+		c.LineUp(now, p.line)
+	case lineDown:
+		c.LineDown(now, p.line, p.unsent)
+	case answer:
+		c.AnswerOn(now, p.line, &p.answer)
+	case keeperUp:
+		if p.keeper == s.keeper {
+			c.KeeperUp(now)
+		}
+	case keeperDown:
+		if p.keeper == s.keeper {
+			s.keeper = nil
+			c.KeeperDown(now)
+		}
+	case keeperBytes:
+		if p.keeper == s.keeper {
+			c.KeeperFeed(now, p.bytes)
+		}
+	case list:
+		c.List(now, p.boxes, s.start.Add(-door.Start))
+	case listFailed:
+		c.ListFailed(now)
+	}
+	s.carryOut()
+}
+
+// carryOut does what the core wishes. Nothing here blocks: sockets are written as far as they take it, and what has
+// to wait does so in a goroutine of its own.
+func (s *Server) carryOut() {
+	for _, w := range s.core.Wishes() {
+		switch w.Kind {
+		case door.Dial:
+			s.dial(w.Line)
+		case door.Write:
+			w.Line.Owner.(*lineConn).write(w.Exchange)
+		case door.Hang:
+			w.Line.Owner.(*lineConn).hang()
+		case door.Final:
+			w.Exchange.Owner.(*clientConn).answered(s.now(), w.Exchange, w.Bytes, false, false)
+			s.record(w.Exchange)
+		case door.Grant:
+			w.Exchange.Owner.(*clientConn).answered(s.now(), w.Exchange, w.Bytes, true, w.Closes)
+			w.Line.Owner.(*lineConn).grant <- true
+			s.record(w.Exchange)
+		case door.Cut:
+			w.Exchange.Owner.(*clientConn).relay(s.now(), w.Exchange, nil, false, true)
+		case door.DialKeeper:
+			s.dialKeeper(w.Addr)
+		case door.SendKeeper:
+			s.keeper.send(w.Bytes)
+		case door.HangKeeper:
+			s.keeper.hang()
+			s.keeper = nil
+		case door.ReadList:
+			s.readList()
+		}
+	}
+}
+
+func (s *Server) record(ex *door.Exchange) {
+	if s.debug {
+		s.log.Debug("answer", "request", ex.ID, "operation", ex.Op.ID, "studio", ex.Studio.Name, "status", ex.Status,
+			"ms", float64((s.now()-ex.Arrived).Microseconds())/1000)
+	}
+}
+
+// readList reads the file of boxes in a goroutine of its own. A file that is broken or missing leaves the list as it
+// was.
+func (s *Server) readList() {
+	s.conns.Go(func() error {
+		s.listMu.Lock() // readings are told in their order
+		defer s.listMu.Unlock()
+		text, err := os.ReadFile(s.cfg.BoxesPath())
+		if err == nil {
+			var boxes []config.Box
+			if boxes, err = config.ParseBoxes(s.cfg.BoxesPath(), text); err == nil {
+				s.post(post{kind: list, boxes: s.placed(boxes)})
+				s.log.Info("list of boxes", "file", s.cfg.BoxesPath(), "boxes", len(boxes))
+				return nil
+			}
+		}
+		s.log.Error("list of boxes: the last one stays in force", "error", err)
+		s.post(post{kind: listFailed})
+		return nil
+	})
+}
+
+// placed gives boxes that are elsewhere their addresses.
+func (s *Server) placed(boxes []config.Box) []config.Box {
+	for i := range boxes {
+		if addr, ok := s.at[boxes[i].Name]; ok {
+			boxes[i].Address = addr
+		}
+	}
+	return boxes
+}
