--- /dev/null
+++ b/audit/audit_test.go
@@ -0,0 +1,131 @@
+package audit
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func limits() Limits {
+	return Limits{DrainGrace: time.Second, Slack: 50 * ms, KeyTTL: 6 * time.Second, ColdShare: 0.2, ColdTime: 10 * time.Second,
+		OverloadFactor: 4, OverloadTime: time.Second, Cores: 2, Ceilings: map[string]Ceiling{"school": {Rate: 2, Burst: 4, Slack: 1}}}
+}
+
+func try(id string, r Repeat) Try {
+	return Try{ID: id, Op: id, Studio: "s", Plan: "p", Repeat: r, Units: 1, Patience: time.Second, Aim: time.Second, Worth: 1}
+}
+
+// TestEachRuleCanBreak: for each rule, a run that keeps it and runs that break it.
+func TestEachRuleCanBreak(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		rule int
+		want int
+		feed func(a *Auditor)
+	}{
+		{"answered", 0, 0, func(a *Auditor) { a.Asked(try("1", Safe)); a.Ended(End{"1", Served, 900 * ms, 1}) }},
+		{"never answered", 0, 1, func(a *Auditor) { a.Asked(try("1", Safe)) }},
+		{"gave up", 0, 1, func(a *Auditor) { a.Asked(try("1", Safe)); a.Ended(End{"1", GaveUp, time.Second, 0}) }},
+		{"late", 0, 1, func(a *Auditor) { a.Asked(try("1", Safe)); a.Ended(End{"1", Served, 1100 * ms, 1}) }},
+		{"twice", 0, 1, func(a *Auditor) { a.Asked(try("1", Safe)); a.Ended(End{"1", Served, 100 * ms, 2}) }},
+		{"cut", 0, 1, func(a *Auditor) { a.Asked(try("1", Safe)); a.Ended(End{"1", Cut, 100 * ms, 0}) }},
+		{"cut by a killed door", 0, 0, func(a *Auditor) {
+			a.Asked(try("1", Safe))
+			a.DoorDown(0, 90*ms)
+			a.Ended(End{"1", Cut, 100 * ms, 0})
+		}},
+		{"cut long after a door was killed", 0, 1, func(a *Auditor) {
+			x := try("1", Safe)
+			x.Asked = 10 * time.Second
+			a.Asked(x)
+			a.DoorDown(0, 90*ms)
+			a.DoorUp(0, time.Second)
+			a.Ended(End{"1", Cut, 10100 * ms, 0})
+		}},
+		{"sent after its answer", 0, 1, func(a *Auditor) {
+			a.Asked(try("1", Safe))
+			a.Ended(End{"1", Refused, 100 * ms, 1})
+			a.Received(Receipt{"1", "b", 300 * ms})
+		}},
+		{"unsafe once", 1, 0, func(a *Auditor) { a.Asked(try("1", Unsafe)); a.Ran(Run{"1", "", "b", 1}) }},
+		{"unsafe twice", 1, 1, func(a *Auditor) { a.Asked(try("1", Unsafe)); a.Ran(Run{"1", "", "b", 1}); a.Ran(Run{"1", "", "c", 2}) }},
+		{"unsafe by two tries", 1, 1, func(a *Auditor) {
+			x, y := try("1", Unsafe), try("2", Unsafe)
+			y.Op = "1"
+			a.Asked(x)
+			a.Asked(y)
+			a.Ran(Run{"1", "", "b", 1})
+			a.Ran(Run{"2", "", "b", 2})
+		}},
+		{"unsafe ran and refused", 1, 1, func(a *Auditor) {
+			a.Asked(try("1", Unsafe))
+			a.Ran(Run{"1", "", "b", 1})
+			a.Ended(End{"1", Refused, 2, 1})
+		}},
+		{"keyed again in time", 1, 0, func(a *Auditor) {
+			a.Asked(try("1", Keyed))
+			a.Received(Receipt{"1", "b", 1})
+			a.Received(Receipt{"1", "c", 5 * time.Second})
+		}},
+		{"keyed after its time", 1, 1, func(a *Auditor) {
+			a.Asked(try("1", Keyed))
+			a.Received(Receipt{"1", "b", 1})
+			a.Received(Receipt{"1", "c", 7 * time.Second})
+		}},
+		{"keyed outside its group", 1, 1, func(a *Auditor) {
+			a.limits.Group = func(box string) string { return box }
+			a.Asked(try("1", Keyed))
+			a.Received(Receipt{"1", "b", 1})
+			a.Received(Receipt{"1", "c", 2})
+		}},
+		{"within the grace", 2, 0, func(a *Auditor) { a.Unlisted("b", 0); a.Received(Receipt{"1", "b", time.Second}) }},
+		{"beyond the grace", 2, 1, func(a *Auditor) { a.Unlisted("b", 0); a.Received(Receipt{"1", "b", 1100 * ms}) }},
+		{"listed again", 2, 0, func(a *Auditor) {
+			a.Unlisted("b", 0)
+			a.Listed("b", time.Second)
+			a.Received(Receipt{"1", "b", 3 * time.Second})
+		}},
+		{"fell over", 3, 1, func(a *Auditor) { a.Started("b", 0); a.Fell("b", time.Second) }},
+		{"under the ceiling", 4, 0, func(a *Auditor) { school(a, 5, 0) }},
+		{"over the ceiling", 4, 1, func(a *Auditor) { school(a, 6, 0) }},
+		{"over it slowly", 4, 0, func(a *Auditor) { school(a, 20, 500*ms) }},
+	} {
+		a := New(limits())
+		c.feed(a)
+		v := a.Verdict()
+		if got := v.Rules[c.rule].Count; got != c.want {
+			t.Errorf("%s: %d violations, want %d: %v", c.name, got, c.want, v.Rules[c.rule].Violations)
+		}
+	}
+}
+
+func school(a *Auditor, n int, gap time.Duration) {
+	for i := range n {
+		x := try(string(rune('a'+i)), Safe)
+		x.Plan = "school"
+		a.Asked(x)
+		a.Received(Receipt{x.ID, "b", time.Duration(i) * gap})
+		a.Received(Receipt{x.ID, "c", time.Duration(i) * gap}) // a second attempt draws nothing
+	}
+}
+
+func TestColdNearest(t *testing.T) {
+	a := New(limits())
+	a.Started("b", 0)
+	for i := range 8 { // 0.8 s of work in a second, where 4 x 0.2 x 2 = 1.6 s pushes it over
+		x := try(string(rune('a'+i)), Safe)
+		x.Work = 100 * ms
+		a.Asked(x)
+		a.Received(Receipt{x.ID, "b", 0})
+	}
+	if r := a.Verdict().Rules[3]; r.Cases != 1 || r.Nearest < 0.49 || r.Nearest > 0.51 {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestUnseen(t *testing.T) {
+	if v := New(limits()).Verdict(); len(v.Unseen) != 5 {
+		t.Errorf("%v", v.Unseen)
+	}
+}
--- a/config/boxes.go
+++ b/config/boxes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sandyard/choice"
+	"sandyard/internal/strict"
 )
 
 // Box is one line of the list of boxes.
@@ -22,7 +23,7 @@
 // State is up, draining or gone; a box that is not listed is gone.
 type State choice.ServerState
 
-func (s *State) fromText(t string) error {
+func (s *State) FromText(t string) error {
 	state, ok := map[string]choice.ServerState{"up": choice.Up, "draining": choice.Draining, "gone": choice.Gone}[t]
 	if !ok {
 		return fmt.Errorf("expected up, draining or gone")
@@ -34,7 +35,7 @@
 // When is a time of day on the calendar (RFC 3339).
 type When time.Time
 
-func (w *When) fromText(t string) error {
+func (w *When) FromText(t string) error {
 	at, err := time.Parse(time.RFC3339Nano, t)
 	if err != nil {
 		return fmt.Errorf("expected a time such as 2026-11-30T08:15:00Z")
@@ -51,30 +52,30 @@
 	var f struct {
 		Boxes []Box `yaml:"boxes"`
 	}
-	d := decode(path, text, &f)
-	if _, ok := d.places["boxes"]; !ok && len(d.problems) == 0 {
-		d.say("boxes", "missing; an empty list is written as boxes: []")
+	d := strict.Read(path, text, &f)
+	if !d.Has("boxes") && len(d.Problems) == 0 {
+		d.Say("boxes", "missing; an empty list is written as boxes: []")
 	}
 	if len(f.Boxes) > MostBoxes {
-		d.say("boxes", "%d boxes: expected at most %d", len(f.Boxes), MostBoxes)
+		d.Say("boxes", "%d boxes: expected at most %d", len(f.Boxes), MostBoxes)
 	}
 	names := map[string]bool{}
 	for i, b := range f.Boxes {
 		at := fmt.Sprintf("boxes[%d]", i)
 		if b.Name == "" {
-			d.say(at+".name", "missing")
+			d.Say(at+".name", "missing")
 		} else if names[b.Name] {
-			d.say(at+".name", "%q stands twice", b.Name)
+			d.Say(at+".name", "%q stands twice", b.Name)
 		}
 		names[b.Name] = true
 		if _, _, err := net.SplitHostPort(b.Address); err != nil {
-			d.say(at+".address", "%q: expected host:port", b.Address)
+			d.Say(at+".address", "%q: expected host:port", b.Address)
 		}
 		if b.Weight < 0 {
-			d.say(at+".weight", "%g: expected 0 or more", b.Weight)
+			d.Say(at+".weight", "%g: expected 0 or more", b.Weight)
 		}
 	}
-	if err := d.problems.Err(); err != nil {
+	if err := d.Problems.Err(); err != nil {
 		return nil, err
 	}
 	return f.Boxes, nil
--- a/config/config.go
+++ b/config/config.go
@@ -16,6 +16,7 @@
 
 	"sandyard/choice"
 	"sandyard/internal/diag"
+	"sandyard/internal/strict"
 	"sandyard/routes"
 )
 
@@ -39,18 +40,18 @@
 	Plans   []Plan   `yaml:"plans"`
 	Studios []Studio `yaml:"studios"`
 	Boxes   struct {
-		File         string   `yaml:"file"`
-		DrainGrace   Duration `yaml:"drain-grace"`
-		Subscribe    bool     `yaml:"subscribe"`
-		AskWithin    Duration `yaml:"ask-within"`
-		FullStatuses []int    `yaml:"full-statuses"`
+		File         string          `yaml:"file"`
+		DrainGrace   strict.Duration `yaml:"drain-grace"`
+		Subscribe    bool            `yaml:"subscribe"`
+		AskWithin    strict.Duration `yaml:"ask-within"`
+		FullStatuses []int           `yaml:"full-statuses"`
 		Cold         struct {
-			Share float64  `yaml:"share"`
-			Time  Duration `yaml:"time"`
+			Share float64         `yaml:"share"`
+			Time  strict.Duration `yaml:"time"`
 		} `yaml:"cold"`
 		Overload struct {
-			Factor float64  `yaml:"factor"`
-			Time   Duration `yaml:"time"`
+			Factor float64         `yaml:"factor"`
+			Time   strict.Duration `yaml:"time"`
 		} `yaml:"overload"`
 	} `yaml:"boxes"`
 	Load struct {
@@ -68,14 +69,14 @@
 		SecondCopies bool `yaml:"second-copies"`
 	} `yaml:"attempts"`
 	RetryAfter struct {
-		Tell bool     `yaml:"tell"`
-		Most Duration `yaml:"most"`
+		Tell bool            `yaml:"tell"`
+		Most strict.Duration `yaml:"most"`
 	} `yaml:"retry-after"`
 	Keeper struct {
-		Address string   `yaml:"address"`
-		Timeout Duration `yaml:"timeout"`
-		Price   float64  `yaml:"price"`
-		Pending int      `yaml:"pending"`
+		Address string          `yaml:"address"`
+		Timeout strict.Duration `yaml:"timeout"`
+		Price   float64         `yaml:"price"`
+		Pending int             `yaml:"pending"`
 	} `yaml:"keeper"`
 	Units struct {
 		Most        float64 `yaml:"most"`
@@ -90,30 +91,30 @@
 
 // Class is a kind of request, named by operations of the description.
 type Class struct {
-	Name      string   `yaml:"name"`
-	Repeat    string   `yaml:"repeat"`
-	Scope     string   `yaml:"scope"`
-	KeyTTL    Duration `yaml:"key-ttl"`
-	Aim       Duration `yaml:"aim"`
-	Deadline  Duration `yaml:"deadline"`
-	Worth     float64  `yaml:"worth"`
-	LateShare float64  `yaml:"late-share"`
-	Stream    bool     `yaml:"stream"`
+	Name      string          `yaml:"name"`
+	Repeat    string          `yaml:"repeat"`
+	Scope     string          `yaml:"scope"`
+	KeyTTL    strict.Duration `yaml:"key-ttl"`
+	Aim       strict.Duration `yaml:"aim"`
+	Deadline  strict.Duration `yaml:"deadline"`
+	Worth     float64         `yaml:"worth"`
+	LateShare float64         `yaml:"late-share"`
+	Stream    bool            `yaml:"stream"`
 }
 
 // Plan is what a studio on it is entitled to.
 type Plan struct {
-	Name      string  `yaml:"name"`
-	Rate      Rate    `yaml:"rate"`
-	Burst     float64 `yaml:"burst"`
-	Open      int     `yaml:"open"`
-	Price     float64 `yaml:"price"`
-	OverWorth float64 `yaml:"over-worth"`
-	OverCost  float64 `yaml:"over-cost"`
+	Name      string      `yaml:"name"`
+	Rate      strict.Rate `yaml:"rate"`
+	Burst     float64     `yaml:"burst"`
+	Open      int         `yaml:"open"`
+	Price     float64     `yaml:"price"`
+	OverWorth float64     `yaml:"over-worth"`
+	OverCost  float64     `yaml:"over-cost"`
 	Ceiling   struct {
-		Rate  Rate    `yaml:"rate"`
-		Burst float64 `yaml:"burst"`
-		Slack float64 `yaml:"slack"`
+		Rate  strict.Rate `yaml:"rate"`
+		Burst float64     `yaml:"burst"`
+		Slack float64     `yaml:"slack"`
 	} `yaml:"ceiling"`
 }
 
@@ -136,24 +137,24 @@
 
 // Limits bound what a front door holds and how long it waits. docs/operate/front-door.md has what happens at each.
 type Limits struct {
-	Connections     int      `yaml:"connections"`
-	LinesPerBox     int      `yaml:"lines-per-box"`
-	Queue           int      `yaml:"queue"`
-	Memory          Size     `yaml:"memory"`
-	Body            Size     `yaml:"body"`
-	Head            Size     `yaml:"head"`
-	Fields          int      `yaml:"fields"`
-	HoldAnswer      Size     `yaml:"hold-answer"`
-	HeadTimeout     Duration `yaml:"head-timeout"`
-	BodyTimeout     Duration `yaml:"body-timeout"`
-	WriteTimeout    Duration `yaml:"write-timeout"`
-	IdleTimeout     Duration `yaml:"idle-timeout"`
-	ConnectTimeout  Duration `yaml:"connect-timeout"`
-	BoxIdleTimeout  Duration `yaml:"box-idle-timeout"`
-	UnsafeIdle      Duration `yaml:"unsafe-idle"`
-	AnswerMargin    Duration `yaml:"answer-margin"`
-	StreamSilence   Duration `yaml:"stream-silence"`
-	ShutdownTimeout Duration `yaml:"shutdown-timeout"`
+	Connections     int             `yaml:"connections"`
+	LinesPerBox     int             `yaml:"lines-per-box"`
+	Queue           int             `yaml:"queue"`
+	Memory          strict.Size     `yaml:"memory"`
+	Body            strict.Size     `yaml:"body"`
+	Head            strict.Size     `yaml:"head"`
+	Fields          int             `yaml:"fields"`
+	HoldAnswer      strict.Size     `yaml:"hold-answer"`
+	HeadTimeout     strict.Duration `yaml:"head-timeout"`
+	BodyTimeout     strict.Duration `yaml:"body-timeout"`
+	WriteTimeout    strict.Duration `yaml:"write-timeout"`
+	IdleTimeout     strict.Duration `yaml:"idle-timeout"`
+	ConnectTimeout  strict.Duration `yaml:"connect-timeout"`
+	BoxIdleTimeout  strict.Duration `yaml:"box-idle-timeout"`
+	UnsafeIdle      strict.Duration `yaml:"unsafe-idle"`
+	AnswerMargin    strict.Duration `yaml:"answer-margin"`
+	StreamSilence   strict.Duration `yaml:"stream-silence"`
+	ShutdownTimeout strict.Duration `yaml:"shutdown-timeout"`
 }
 
 // Customer is a studio ready for use.
@@ -201,20 +202,20 @@
 	f.Headers.Key, f.Headers.Patience, f.Headers.Retry = "X-Api-Key", "X-Patience", "X-Retry"
 	f.Headers.Units = "X-Units"
 	f.Attempts.Most, f.Attempts.Cancel = 2, true
-	f.Boxes.DrainGrace = Duration(2 * time.Second)
+	f.Boxes.DrainGrace = strict.Duration(2 * time.Second)
 	f.Boxes.Cold.Share = 1
 	f.Load.Via = "none"
 	f.Probes.Path = "/load"
-	f.RetryAfter.Most = Duration(2 * time.Second)
-	f.Keeper.Timeout, f.Keeper.Pending = Duration(50*time.Millisecond), 4096
+	f.RetryAfter.Most = strict.Duration(2 * time.Second)
+	f.Keeper.Timeout, f.Keeper.Pending = strict.Duration(50*time.Millisecond), 4096
 	f.Units.Most = 1
 	f.Log.Format, f.Log.Level = "json", "info"
 	f.Limits = Limits{Connections: 10000, LinesPerBox: 256, Queue: 8192, Memory: 256 << 20, Body: 1 << 20, Head: 32 << 10,
-		Fields: 128, HoldAnswer: 64 << 10, HeadTimeout: Duration(10 * time.Second), BodyTimeout: Duration(30 * time.Second),
-		WriteTimeout: Duration(15 * time.Second), IdleTimeout: Duration(75 * time.Second),
-		ConnectTimeout: Duration(250 * time.Millisecond), BoxIdleTimeout: Duration(15 * time.Second),
-		UnsafeIdle: Duration(time.Second), AnswerMargin: Duration(20 * time.Millisecond),
-		StreamSilence: Duration(30 * time.Second), ShutdownTimeout: Duration(30 * time.Second)}
+		Fields: 128, HoldAnswer: 64 << 10, HeadTimeout: strict.Duration(10 * time.Second), BodyTimeout: strict.Duration(30 * time.Second),
+		WriteTimeout: strict.Duration(15 * time.Second), IdleTimeout: strict.Duration(75 * time.Second),
+		ConnectTimeout: strict.Duration(250 * time.Millisecond), BoxIdleTimeout: strict.Duration(15 * time.Second),
+		UnsafeIdle: strict.Duration(time.Second), AnswerMargin: strict.Duration(20 * time.Millisecond),
+		StreamSilence: strict.Duration(30 * time.Second), ShutdownTimeout: strict.Duration(30 * time.Second)}
 	return f
 }
 
@@ -228,17 +229,17 @@
 	if c.OpenAPI != "" {
 		p := c.beside(c.OpenAPI)
 		if text, err := os.ReadFile(p); err != nil {
-			d.say("openapi", "%s", plainError(err))
+			d.Say("openapi", "%s", plainError(err))
 		} else if c.Routes, err = routes.Compile(p, text); err != nil {
-			d.add(err)
+			add(d, err)
 		}
 	}
 	if c.File.Boxes.File != "" {
 		p := c.BoxesPath()
 		if text, err := os.ReadFile(p); err != nil {
-			d.say("boxes.file", "%s", plainError(err))
+			d.Say("boxes.file", "%s", plainError(err))
 		} else if c.Boxes, err = ParseBoxes(p, text); err != nil {
-			d.add(err)
+			add(d, err)
 		}
 	}
 	return c.finish(d)
@@ -249,10 +250,10 @@
 	c, d := parse(path, text)
 	var err error
 	if c.Routes, err = routes.Compile(c.OpenAPI, description); err != nil {
-		d.add(err)
+		add(d, err)
 	}
 	if c.Boxes, err = ParseBoxes(c.File.Boxes.File, boxes); err != nil {
-		d.add(err)
+		add(d, err)
 	}
 	return c.finish(d)
 }
@@ -264,18 +265,18 @@
 	return err.Error()
 }
 
-func (d *decoder) add(err error) {
+func add(d *strict.Document, err error) {
 	if ps, ok := err.(diag.Problems); ok {
-		d.problems = append(d.problems, ps...)
+		d.Problems = append(d.Problems, ps...)
 	} else {
-		d.say("", "%v", err)
+		d.Say("", "%v", err)
 	}
 }
 
-func parse(path string, text []byte) (*Config, *decoder) {
+func parse(path string, text []byte) (*Config, *strict.Document) {
 	c := &Config{File: defaults(), Path: path, byKey: map[[32]byte]*Customer{}, byName: map[string]*Customer{}}
-	d := decode(path, text, &c.File)
-	if len(d.places) > 0 {
+	d := strict.Read(path, text, &c.File)
+	if d.Whole() {
 		c.checkTop(d)
 		c.checkPlans(d)
 		c.checkStudios(d)
@@ -283,87 +284,87 @@
 	return c, d
 }
 
-func (c *Config) finish(d *decoder) (*Config, error) {
-	if c.Routes != nil && len(d.places) > 0 {
+func (c *Config) finish(d *strict.Document) (*Config, error) {
+	if c.Routes != nil && d.Whole() {
 		c.settle(d)
 	}
-	if err := d.problems.Err(); err != nil {
+	if err := d.Problems.Err(); err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
-func (d *decoder) atLeast(field string, x, least float64) {
+func atLeast(d *strict.Document, field string, x, least float64) {
 	if x < least {
-		d.say(field, "%g: expected %g or more", x, least)
+		d.Say(field, "%g: expected %g or more", x, least)
 	}
 }
 
-func (c *Config) checkTop(d *decoder) {
+func (c *Config) checkTop(d *strict.Document) {
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
-		d.say("listen", "%q: expected host:port", c.Listen)
+		d.Say("listen", "%q: expected host:port", c.Listen)
 	}
 	if c.OpenAPI == "" {
-		d.say("openapi", "missing: the description that routes and costs come from")
+		d.Say("openapi", "missing: the description that routes and costs come from")
 	}
 	if c.File.Boxes.File == "" {
-		d.say("boxes.file", "missing: the list of boxes")
+		d.Say("boxes.file", "missing: the list of boxes")
 	}
 	if c.Door.Of < 1 || c.Door.Number < 0 || c.Door.Number >= max(1, c.Door.Of) {
-		d.say("door.number", "front door %d of %d: expected 0 to of-1", c.Door.Number, c.Door.Of)
+		d.Say("door.number", "front door %d of %d: expected 0 to of-1", c.Door.Number, c.Door.Of)
 	}
 	if c.Door.Zone != "" && !slices.Contains(c.Zones, c.Door.Zone) {
-		d.say("door.zone", "%q is not among zones", c.Door.Zone)
+		d.Say("door.zone", "%q is not among zones", c.Door.Zone)
 	}
 	for i, z := range c.Zones {
 		if slices.Contains(c.Zones[:i], z) {
-			d.say(fmt.Sprintf("zones[%d]", i), "%q stands twice", z)
+			d.Say(fmt.Sprintf("zones[%d]", i), "%q stands twice", z)
 		}
 	}
 	if c.Keeper.Address != "" {
 		if _, _, err := net.SplitHostPort(c.Keeper.Address); err != nil {
-			d.say("keeper.address", "%q: expected host:port", c.Keeper.Address)
+			d.Say("keeper.address", "%q: expected host:port", c.Keeper.Address)
 		}
-		d.atLeast("keeper.pending", float64(c.Keeper.Pending), 1)
+		atLeast(d, "keeper.pending", float64(c.Keeper.Pending), 1)
 		if c.Keeper.Timeout == 0 {
-			d.say("keeper.timeout", "expected a time above 0")
+			d.Say("keeper.timeout", "expected a time above 0")
 		}
 	}
-	d.atLeast("attempts.most", float64(c.Attempts.Most), 1)
-	d.atLeast("units.most", c.Units.Most, 0)
-	d.atLeast("probes.price", c.Probes.Price, 0)
-	d.atLeast("keeper.price", c.Keeper.Price, 0)
+	atLeast(d, "attempts.most", float64(c.Attempts.Most), 1)
+	atLeast(d, "units.most", c.Units.Most, 0)
+	atLeast(d, "probes.price", c.Probes.Price, 0)
+	atLeast(d, "keeper.price", c.Keeper.Price, 0)
 	if s := c.File.Boxes.Cold.Share; !(s > 0) || s > 1 {
-		d.say("boxes.cold.share", "%g: expected a share above 0, up to 1", s)
+		d.Say("boxes.cold.share", "%g: expected a share above 0, up to 1", s)
 	}
-	d.atLeast("boxes.overload.factor", c.File.Boxes.Overload.Factor, 0)
+	atLeast(d, "boxes.overload.factor", c.File.Boxes.Overload.Factor, 0)
 	for i, s := range c.File.Boxes.FullStatuses {
 		if s < 400 || s > 599 {
-			d.say(fmt.Sprintf("boxes.full-statuses[%d]", i), "%d: expected a status from 400 to 599", s)
+			d.Say(fmt.Sprintf("boxes.full-statuses[%d]", i), "%d: expected a status from 400 to 599", s)
 		}
 	}
 	if !slices.Contains([]string{"none", "answers", "probes"}, c.Load.Via) {
-		d.say("load.via", "%q: expected none, answers or probes", c.Load.Via)
+		d.Say("load.via", "%q: expected none, answers or probes", c.Load.Via)
 	}
 	if c.Load.Via == "probes" && !c.Probes.Allowed {
-		d.say("load.via", "probes need probes.allowed")
+		d.Say("load.via", "probes need probes.allowed")
 	}
 	if c.Probes.Allowed && !strings.HasPrefix(c.Probes.Path, "/") {
-		d.say("probes.path", "%q: expected a path that begins with /", c.Probes.Path)
+		d.Say("probes.path", "%q: expected a path that begins with /", c.Probes.Path)
 	}
 	for i, f := range c.Load.Fields {
 		if _, ok := loadFields[f.Is]; !ok {
-			d.say(fmt.Sprintf("load.fields[%d].is", i), "%q: expected in-flight, queue, utilization, latency, served, errors or other", f.Is)
+			d.Say(fmt.Sprintf("load.fields[%d].is", i), "%q: expected in-flight, queue, utilization, latency, served, errors or other", f.Is)
 		}
 		if f.Name == "" {
-			d.say(fmt.Sprintf("load.fields[%d].name", i), "missing: the figure's name in the report")
+			d.Say(fmt.Sprintf("load.fields[%d].name", i), "missing: the figure's name in the report")
 		}
 	}
 	if !slices.Contains([]string{"json", "text"}, c.Log.Format) {
-		d.say("log.format", "%q: expected json or text", c.Log.Format)
+		d.Say("log.format", "%q: expected json or text", c.Log.Format)
 	}
 	if !slices.Contains([]string{"debug", "info", "warn", "error"}, c.Log.Level) {
-		d.say("log.level", "%q: expected debug, info, warn or error", c.Log.Level)
+		d.Say("log.level", "%q: expected debug, info, warn or error", c.Log.Level)
 	}
 	l := c.Limits
 	for name, n := range map[string]int{"connections": l.Connections, "lines-per-box": l.LinesPerBox, "queue": l.Queue,
@@ -373,73 +374,73 @@
 		"box-idle-timeout": int(l.BoxIdleTimeout), "stream-silence": int(l.StreamSilence),
 		"shutdown-timeout": int(l.ShutdownTimeout)} {
 		if n < 1 {
-			d.say("limits."+name, "expected more than 0")
+			d.Say("limits."+name, "expected more than 0")
 		}
 	}
 	if l.Body > l.Memory {
-		d.say("limits.body", "more than limits.memory")
+		d.Say("limits.body", "more than limits.memory")
 	}
 }
 
-func (c *Config) checkPlans(d *decoder) {
+func (c *Config) checkPlans(d *strict.Document) {
 	seen := map[string]bool{}
 	for i := range c.Plans {
 		p, at := &c.Plans[i], fmt.Sprintf("plans[%d]", i)
 		if p.Name == "" {
-			d.say(at+".name", "missing")
+			d.Say(at+".name", "missing")
 		} else if seen[p.Name] {
-			d.say(at+".name", "%q stands twice", p.Name)
+			d.Say(at+".name", "%q stands twice", p.Name)
 		}
 		seen[p.Name] = true
-		if _, given := d.places[at+".price"]; !given {
+		if !d.Has(at + ".price") {
 			p.Price = 1
 		}
 		for name, x := range map[string]float64{"burst": p.Burst, "price": p.Price, "over-worth": p.OverWorth,
 			"over-cost": p.OverCost, "ceiling.burst": p.Ceiling.Burst, "ceiling.slack": p.Ceiling.Slack, "open": float64(p.Open)} {
-			d.atLeast(at+"."+name, x, 0)
+			atLeast(d, at+"."+name, x, 0)
 		}
 		if p.Rate > 0 && p.Burst < 1 {
-			d.say(at+".burst", "%g: a plan with a rate needs a burst of 1 unit or more", p.Burst)
+			d.Say(at+".burst", "%g: a plan with a rate needs a burst of 1 unit or more", p.Burst)
 		}
 		if p.Ceiling.Rate > 0 && p.Ceiling.Rate < p.Rate {
-			d.say(at+".ceiling.rate", "below the plan's rate")
+			d.Say(at+".ceiling.rate", "below the plan's rate")
 		}
 		if p.Ceiling.Rate == 0 && p.Ceiling.Burst > 0 {
-			d.say(at+".ceiling.burst", "a ceiling needs a rate")
+			d.Say(at+".ceiling.burst", "a ceiling needs a rate")
 		}
 	}
 	if len(c.Plans) == 0 {
-		d.say("plans", "missing: at least one plan")
+		d.Say("plans", "missing: at least one plan")
 	}
 }
 
-func (c *Config) checkStudios(d *decoder) {
+func (c *Config) checkStudios(d *strict.Document) {
 	holder := map[[32]byte]string{}
 	for i := range c.Studios {
 		s, at := &c.Studios[i], fmt.Sprintf("studios[%d]", i)
 		plan := slices.IndexFunc(c.Plans, func(p Plan) bool { return p.Name == s.Plan })
 		if plan < 0 {
-			d.say(at+".plan", "%q is not among plans", s.Plan)
+			d.Say(at+".plan", "%q is not among plans", s.Plan)
 		}
 		if s.Name == "" {
-			d.say(at+".name", "missing")
+			d.Say(at+".name", "missing")
 		} else if c.byName[s.Name] != nil {
-			d.say(at+".name", "%q stands twice", s.Name)
+			d.Say(at+".name", "%q stands twice", s.Name)
 		}
 		spread := s.Doors.Spread
 		if spread == 0 {
 			spread = c.Door.Of
 		}
 		if spread < 1 || spread > max(1, c.Door.Of) {
-			d.say(at+".doors.spread", "%d: expected 1 to door.of", spread)
+			d.Say(at+".doors.spread", "%d: expected 1 to door.of", spread)
 		}
 		if s.Doors.First < 0 || s.Doors.First >= max(1, c.Door.Of) {
-			d.say(at+".doors.first", "%d: expected 0 to door.of-1", s.Doors.First)
+			d.Say(at+".doors.first", "%d: expected 0 to door.of-1", s.Doors.First)
 		}
 		cu := &Customer{Name: s.Name, Plan: choice.PlanID(plan), PlanName: s.Plan, Spread: spread, First: s.Doors.First}
 		c.byName[s.Name] = cu
 		if len(s.Keys) == 0 {
-			d.say(at+".keys", "missing: at least one key")
+			d.Say(at+".keys", "missing: at least one key")
 		}
 		for j, k := range s.Keys {
 			sum := sha256.Sum256([]byte(k))
@@ -447,23 +448,23 @@
 			if hexed, ok := strings.CutPrefix(k, "sha256:"); ok {
 				b, err := hex.DecodeString(hexed)
 				if err != nil || len(b) != len(sum) {
-					d.say(field, "expected 64 hexadecimal digits after sha256:")
+					d.Say(field, "expected 64 hexadecimal digits after sha256:")
 					continue
 				}
 				copy(sum[:], b)
 			} else if k == "" {
-				d.say(field, "an empty key")
+				d.Say(field, "an empty key")
 				continue
 			}
 			if other, ok := holder[sum]; ok {
-				d.say(field, "the same key as one of %q", other)
+				d.Say(field, "the same key as one of %q", other)
 				continue
 			}
 			holder[sum], c.byKey[sum] = s.Name, cu
 		}
 	}
 	if len(c.Studios) == 0 {
-		d.say("studios", "missing: at least one studio")
+		d.Say("studios", "missing: at least one studio")
 	}
 }
 
@@ -478,7 +479,7 @@
 
 // settle derives choice.Settings. A class of the configuration becomes one class of the settings for each way of
 // repeating that operations of it have.
-func (c *Config) settle(d *decoder) {
+func (c *Config) settle(d *strict.Document) {
 	s := &c.Settings
 	*s = choice.Settings{Self: c.Door.Number, Gateways: c.Door.Of, Zone: max(0, slices.Index(c.Zones, c.Door.Zone)),
 		LoadInAnswers: c.Load.Via == "answers", LoadByProbe: c.Load.Via == "probes", Probes: c.Probes.Allowed,
@@ -503,36 +504,36 @@
 	for i, k := range c.Classes {
 		at := fmt.Sprintf("classes[%d]", i)
 		if k.Name == "" {
-			d.say(at+".name", "missing")
+			d.Say(at+".name", "missing")
 		} else if _, twice := base[k.Name]; twice {
-			d.say(at+".name", "%q stands twice", k.Name)
+			d.Say(at+".name", "%q stands twice", k.Name)
 		}
 		base[k.Name] = i
 		if _, ok := repeats[k.Repeat]; !ok {
-			d.say(at+".repeat", "%q: expected safe, keyed or unsafe", k.Repeat)
+			d.Say(at+".repeat", "%q: expected safe, keyed or unsafe", k.Repeat)
 		}
 		if _, ok := scopes[k.Scope]; !ok {
-			d.say(at+".scope", "%q: expected all, zone or cell", k.Scope)
+			d.Say(at+".scope", "%q: expected all, zone or cell", k.Scope)
 		}
 		if k.Repeat == "keyed" && k.KeyTTL == 0 {
-			d.say(at+".key-ttl", "a keyed class needs how long boxes remember its keys")
+			d.Say(at+".key-ttl", "a keyed class needs how long boxes remember its keys")
 		}
 		if k.Aim == 0 {
-			d.say(at+".aim", "expected a time above 0")
+			d.Say(at+".aim", "expected a time above 0")
 		}
 		if k.Deadline < k.Aim || k.Deadline == 0 {
-			d.say(at+".deadline", "expected the aim or more")
+			d.Say(at+".deadline", "expected the aim or more")
 		}
 		if time.Duration(k.Deadline) <= time.Duration(c.Limits.AnswerMargin) {
-			d.say(at+".deadline", "no more than limits.answer-margin: no time would be left")
+			d.Say(at+".deadline", "no more than limits.answer-margin: no time would be left")
 		}
-		d.atLeast(at+".worth", k.Worth, 0)
+		atLeast(d, at+".worth", k.Worth, 0)
 		if k.LateShare < 0 || k.LateShare > 1 {
-			d.say(at+".late-share", "%g: expected a share from 0 to 1", k.LateShare)
+			d.Say(at+".late-share", "%g: expected a share from 0 to 1", k.LateShare)
 		}
 	}
 	if len(c.Classes) == 0 {
-		d.say("classes", "missing: at least one class")
+		d.Say("classes", "missing: at least one class")
 	}
 	type use struct {
 		class  int
@@ -542,13 +543,13 @@
 	for _, op := range c.Routes.Operations {
 		i, ok := base[op.Class]
 		if !ok {
-			d.problems = append(d.problems, diag.Problem{File: c.beside(c.OpenAPI), Line: op.Line, Column: 1,
+			d.Problems = append(d.Problems, diag.Problem{File: c.beside(c.OpenAPI), Line: op.Line, Column: 1,
 				Field: op.ID, Message: fmt.Sprintf("class %q is not among classes of %s", op.Class, c.Path)})
 			c.ClassOf = append(c.ClassOf, 0)
 			continue
 		}
 		if most := max(op.Units.Fixed, op.Units.Most); most > max(1, c.Units.Most) {
-			d.problems = append(d.problems, diag.Problem{File: c.beside(c.OpenAPI), Line: op.Line, Column: 1,
+			d.Problems = append(d.Problems, diag.Problem{File: c.beside(c.OpenAPI), Line: op.Line, Column: 1,
 				Field: op.ID, Message: fmt.Sprintf("up to %g units, more than units.most of %s (%g)", most, c.Path, c.Units.Most)})
 		}
 		u := use{i, op.Repeat}
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,82 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sandyard/choice"
+	"sandyard/internal/strict"
+)
+
+const example = "../examples/kilns/gateway.yaml"
+
+func TestExample(t *testing.T) {
+	c, err := Load(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings
+	if len(s.Classes) != 3 || s.Classes[1].Repeat != choice.Keyed || s.Classes[1].KeyTTL != 6*time.Second ||
+		s.Plans[2].CeilingRate != 32 || s.MaxAttempts != 3 || s.ColdShare != 0.22 || !s.Counter || s.DrainGrace != 2*time.Second {
+		t.Errorf("%+v", s)
+	}
+	if cu := c.Customer("key-hill-school"); cu == nil || cu.Name != "hill-school" || c.Customer("key-hill-schoo") != nil {
+		t.Error("keys are not found")
+	}
+}
+
+// TestAllMistakesAtOnce: each with file, line and field.
+func TestAllMistakesAtOnce(t *testing.T) {
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	bad := strings.NewReplacer("rate: 4/s", "rate: 4", "aim: 600ms", "aim: fast", "listen:", "listne:", "plan: school, keys: [key-hill-school]",
+		"plan: scool, keys: [key-two-wheels]", "most: 3", "most: 0", "share: 0.22", "share: 22", "timeout: 80ms",
+		"timeout: -1s").Replace(string(text))
+	path := filepath.Join(dir, "gateway.yaml")
+	os.WriteFile(path, []byte(bad), 0o600)
+	api, _ := os.ReadFile("../examples/kilns/openapi.yaml")
+	os.WriteFile(filepath.Join(dir, "openapi.yaml"), []byte(strings.Replace(string(api), "x-sandyard-class: firing", "x-sandyard-class: frying", 1)), 0o600)
+	os.WriteFile(filepath.Join(dir, "boxes.yaml"), []byte("boxes:\n  - {name: a, address: nowhere, state: upp}\n  - {name: a, address: 'x:1'}\n"), 0o600)
+	_, err = Load(path)
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{"gateway.yaml:2:1: listne: unknown key; did you mean \"listen\"?", "plans[1].rate: \"4\": expected a rate",
+		"classes[0].aim: \"fast\": expected a time", "studios[3].plan: \"scool\" is not among plans", "studios[3].keys[0]: the same key as one of \"two-wheels\"",
+		"attempts.most: 0: expected 1", "boxes.cold.share: 22", "keeper.timeout: \"-1s\"", "openapi.yaml:", "class \"frying\" is not among classes",
+		"boxes.yaml:2:", "expected up, draining or gone", "expected host:port", "boxes.yaml:3:", "stands twice"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("want %q in:\n%v", want, err)
+		}
+	}
+}
+
+func TestHostileYAML(t *testing.T) {
+	for _, text := range []string{"", "[", "- a", "a: &x [*x]", "listen: [1]", "plans: {a: b}", "studios: [1, 2]", "plans: [{name: {a: b}}]", "\x00", "a: b: c",
+		"listen: x\nlisten: y", "? [a]: b", "plans:\n - name: &a x\n   rate: *a"} {
+		if _, err := Parse("g.yaml", []byte(text), nil, nil); err == nil || !strings.Contains(err.Error(), "g.yaml") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+func TestUnits(t *testing.T) {
+	var r strict.Rate
+	var z strict.Size
+	for s, want := range map[string]float64{"12/s": 12, "30/min": 0.5, "0.5/s": 0.5, "12": -1, "-1/s": -1, "x/s": -1, "1/day": -1, "Inf/s": -1} {
+		if err := r.FromText(s); (err == nil) != (want >= 0) || err == nil && float64(r) != want {
+			t.Errorf("%s: %v %v", s, r, err)
+		}
+	}
+	for s, want := range map[string]int{"64KiB": 65536, "1MiB": 1 << 20, "7B": 7, "64": -1, "x": -1, "-1KiB": -1, "99999999999999GiB": -1} {
+		if err := z.FromText(s); (err == nil) != (want >= 0) || err == nil && int(z) != want {
+			t.Errorf("%s: %v %v", s, z, err)
+		}
+	}
+}
--- /dev/null
+++ b/door/client_test.go
@@ -0,0 +1,227 @@
+package door
+
+import (
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+func (r *rig) client() *Client { return NewClient(r.shared, nil, "192.0.2.1", r.now) }
+
+var statusLine = regexp.MustCompile(`HTTP/1\.1 (\d{3}) `)
+
+func statuses(out []byte) (s []string) {
+	for _, m := range statusLine.FindAllSubmatch(out, -1) {
+		s = append(s, string(m[1]))
+	}
+	return s
+}
+
+// TestPipelined: a hundred requests in one write, one of which is refused, are answered in their order.
+func TestPipelined(t *testing.T) {
+	r := newRig(t, 2, 1, "")
+	c := r.client()
+	var in []byte
+	for i := range 100 {
+		key := "ka"
+		if i == 42 {
+			key = "kx"
+		}
+		in = append(in, text("GET", "/look", key, "")...)
+	}
+	n := 0
+	for ex := c.Feed(r.now, in); ex != nil; ex = c.Resume(r.now) {
+		r.core.Arrive(r.now, ex)
+		r.take()
+		if len(r.wishes) > 0 && r.wishes[len(r.wishes)-1].Kind == Dial {
+			r.up()
+			r.core.Tick(r.now)
+		}
+		l := ex.attempts[0].line
+		r.reply(l, ex, ok200)
+		w := r.want(Final)
+		r.wishes = nil
+		c.Answered(r.now, ex, w.Bytes, false, false)
+		n++
+	}
+	got := statuses(c.Out)
+	if n != 99 || len(got) != 100 || got[42] != "401" || got[41] != "200" || got[43] != "200" || got[99] != "200" {
+		t.Fatalf("%d decided, %d answers: %v", n, len(got), got)
+	}
+	r.quiet()
+}
+
+func TestLocalAnswers(t *testing.T) {
+	big := strings.Repeat("x", 2000)
+	for _, c := range []struct{ name, in, want string }{
+		{"no key", "GET /look HTTP/1.1\r\nHost: h\r\n\r\n", "401"},
+		{"bearer", "GET /nowhere HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer ka\r\n\r\n", "404"},
+		{"no path", string(text("GET", "/nowhere", "ka", "")), "404"},
+		{"no method", string(text("DELETE", "/look", "ka", "")), "405"},
+		{"dots", string(text("GET", "/x/../look", "ka", "")), "400"},
+		{"keyed without a key", string(text("POST", "/book", "ka", "Content-Length: 0\r\n")), "400"},
+		{"patience", string(text("GET", "/look", "ka", "X-Patience: soon\r\n")), "400"},
+		{"body too large", string(text("POST", "/look", "ka", "Content-Length: 2000\r\n")) + big, "413"},
+		{"chunked body too large", string(text("POST", "/look", "ka", "Transfer-Encoding: chunked\r\n")) + "7d0\r\n" + big + "\r\n0\r\n\r\n", "413"},
+		{"malformed", "GET / HTTP/1.1\nHost: h\n\n", "400"},
+		{"version", "GET / HTTP/3.0\r\nHost: h\r\n\r\n", "505"},
+		{"refused with a body, then another", string(text("POST", "/nowhere", "ka", "Content-Length: 3\r\n")) + "abc" + string(text("GET", "/nowhere", "ka", "")), "404 404"},
+		{"body longer than said", string(text("POST", "/nowhere", "ka", "Content-Length: 3\r\n")) + "abcdefg\r\n\r\n", "404 400"},
+		{"refused while waiting for 100", string(text("POST", "/nowhere", "ka", "Content-Length: 3\r\nExpect: 100-continue\r\n")), "404"},
+	} {
+		r := newRig(t, 1, 1, "")
+		for _, bytewise := range []bool{false, true} {
+			cl := r.client()
+			if !bytewise {
+				if ex := cl.Feed(r.now, []byte(c.in)); ex != nil {
+					t.Errorf("%s: an exchange", c.name)
+				}
+			} else {
+				for i := range len(c.in) {
+					cl.Feed(r.now, []byte{c.in[i]})
+				}
+			}
+			if got := strings.Join(statuses(cl.Out), " "); got != c.want {
+				t.Errorf("%s: %s, want %s", c.name, got, c.want)
+			}
+			if n := r.shared.Memory.Load(); n != 0 && c.want != "404 400" {
+				t.Errorf("%s: %d bytes kept", c.name, n)
+			}
+		}
+	}
+}
+
+// TestBodyLongerThanSaid: what follows a body is another request, and as such malformed; it goes nowhere.
+func TestBodyLongerThanSaid(t *testing.T) {
+	r := newRig(t, 1, 1, "")
+	c := r.client()
+	ex := c.Feed(r.now, append(text("POST", "/look", "ka", "Content-Length: 3\r\n"), "abcGET /pay HTTP/1.1\r\n\r\n"...))
+	if ex == nil || !strings.HasSuffix(string(ex.Wire), "\r\n\r\nabc") {
+		t.Fatalf("%v", ex)
+	}
+	r.core.Arrive(r.now, ex)
+	l, _ := r.up()
+	r.reply(l, ex, ok200)
+	c.Answered(r.now, ex, r.final("200").Bytes, false, false)
+	if c.Resume(r.now) != nil || strings.Join(statuses(c.Out), " ") != "200 400" {
+		t.Errorf("%q", c.Out)
+	}
+	if closes, _ := c.Closing(); !closes {
+		t.Error("the connection goes on")
+	}
+}
+
+func TestContinue(t *testing.T) {
+	r := newRig(t, 1, 1, "")
+	c := r.client()
+	if ex := c.Feed(r.now, text("POST", "/look", "ka", "Content-Length: 3\r\nExpect: 100-continue\r\n")); ex != nil || statuses(c.Out)[0] != "100" {
+		t.Fatalf("%q", c.Out)
+	}
+	if ex := c.Feed(r.now, []byte("abc")); ex == nil || strings.Contains(string(ex.Wire), "Expect") {
+		t.Error("no exchange, or Expect passed on")
+	}
+}
+
+// TestSlowSender: one byte a second is cut off at the time a head, or a body, may take.
+func TestSlowSender(t *testing.T) {
+	r := newRig(t, 1, 1, "")
+	for _, in := range []string{string(text("GET", "/look", "ka", "")), string(text("POST", "/look", "ka", "Content-Length: 100\r\n")) + strings.Repeat("x", 99)} {
+		c := r.client()
+		now := r.now
+		for i := 0; i < len(in); i++ {
+			if d := c.Deadline(); d > 0 && now >= d {
+				c.Expired(now)
+				break
+			}
+			step := time.Second
+			if i < 80 && len(in) > 100 {
+				step = 0
+			}
+			c.Feed(now, []byte{in[i]})
+			now += step
+		}
+		if closes, _ := c.Closing(); !closes || len(statuses(c.Out)) != 1 || statuses(c.Out)[0] != "408" {
+			t.Errorf("%q: %q", in, c.Out)
+		}
+	}
+}
+
+// TestMemoryBound: bodies in all are bounded, and what is refused gives its room back.
+func TestMemoryBound(t *testing.T) {
+	r := newRig(t, 1, 1, "")
+	var cs []*Client
+	over := 0
+	for range 40 {
+		c := r.client()
+		c.Feed(r.now, append(text("POST", "/look", "ka", "Content-Length: 1000\r\n"), strings.Repeat("x", 900)...))
+		if s := statuses(c.Out); len(s) == 1 && s[0] == "503" {
+			over++
+		}
+		if r.shared.Memory.Load() > 16<<10 {
+			t.Fatalf("%d bytes held", r.shared.Memory.Load())
+		}
+		cs = append(cs, c)
+	}
+	if over == 0 {
+		t.Error("none was refused")
+	}
+	for _, c := range cs {
+		c.Gone()
+	}
+	if n := r.shared.Memory.Load(); n != 0 {
+		t.Errorf("%d bytes are never given back", n)
+	}
+}
+
+// TestStashBound: what a client sends ahead while it waits is bounded.
+func TestStashBound(t *testing.T) {
+	r := newRig(t, 1, 1, "")
+	c := r.client()
+	c.Feed(r.now, text("GET", "/look", "ka", ""))
+	for i := 0; c.Room(); i++ {
+		c.Feed(r.now, make([]byte, 16<<10))
+		if i > 8 {
+			t.Fatal("there is always room")
+		}
+	}
+}
+
+func TestAnswersForOldClients(t *testing.T) {
+	r := newRig(t, 1, 1, "")
+	for _, c := range []struct{ version, conn, answer, want, not string }{
+		{"1.0", "", ok200, "Connection: close", "chunked"},
+		{"1.0", "Connection: keep-alive\r\n", ok200, "Connection: keep-alive", "chunked"},
+		{"1.1", "", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nT: v\r\n\r\n", "T: v\r\n", "Content-Length"},
+		{"1.0", "", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nT: v\r\n\r\n", "Content-Length: 2", "T: v"},
+		{"1.1", "", "HTTP/1.1 204 No Content\r\n\r\n", "204", "Content-Length"},
+	} {
+		cl := r.client()
+		ex := cl.Feed(r.now, []byte("GET /look HTTP/"+c.version+"\r\nHost: h\r\nX-Api-Key: ka\r\n"+c.conn+"\r\n"))
+		b := NewBoxConn(r.shared)
+		b.Expect(ex)
+		if a := b.Feed([]byte(c.answer)); a.Kind != Whole || !strings.Contains(string(a.Bytes), c.want) || strings.Contains(string(a.Bytes), c.not) {
+			t.Errorf("%+v: %q", c, a.Bytes)
+		}
+	}
+	cl := r.client()
+	ex := cl.Feed(r.now, []byte("HEAD /look HTTP/1.1\r\nHost: h\r\nX-Api-Key: ka\r\n\r\n"))
+	b := NewBoxConn(r.shared)
+	b.Expect(ex)
+	if a := b.Feed([]byte("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n")); a.Kind != Whole || !strings.HasSuffix(string(a.Bytes), "Content-Length: 7\r\n\r\n") {
+		t.Errorf("HEAD: %q", a.Bytes)
+	}
+}
+
+func TestLoadReports(t *testing.T) {
+	names := []string{"a", "b"}
+	if l := parseLoad("TEXT a=1.5,b=2, c=3", names); l[0] != 1.5 || l[1] != 2 {
+		t.Error(l)
+	}
+	if l := parseLoad("TEXT b=x", names); l[0] == l[0] || l[1] == l[1] {
+		t.Error("figures that are none must read as NaN", l)
+	}
+	if parseLoad("JSON {}", names) != nil {
+		t.Error("JSON is taken for TEXT")
+	}
+}
--- a/door/core.go
+++ b/door/core.go
@@ -451,7 +451,11 @@
 		c.settle()
 		return
 	}
-	switch a.Kind {
+	kind := a.Kind
+	if ex.state == Relaying && ex.relay == n && (kind == Whole || kind == Begun) {
+		kind = Broken // another answer within the one that flows
+	}
+	switch kind {
 	case Whole:
 		l.ex = nil
 		if a.Reuse {
--- a/door/keeper.go
+++ b/door/keeper.go
@@ -71,6 +71,10 @@
 			return
 		}
 	}
+	if k.pending() > 0 { // all told, none answered
+		k.armed = true
+		c.timers.push(timer{at: k.calls[k.head].sent + keeperSilence*time.Duration(c.set.Config.Keeper.Timeout), kind: keeperTimer})
+	}
 }
 
 // keeperLate reports the calls whose time is up, oldest first, so that answers for one name keep their order.
--- /dev/null
+++ b/door/rig_test.go
@@ -0,0 +1,170 @@
+package door
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"sandyard/config"
+)
+
+const rigConfig = `
+openapi: api.yaml
+door: {number: 0, of: %d}
+classes:
+  - {name: look, repeat: safe, aim: 500ms, deadline: 2s, worth: 1, late-share: 0.2}
+  - {name: book, repeat: keyed, key-ttl: 6s, aim: 500ms, deadline: 2s, worth: 1, late-share: 0.2}
+  - {name: pay, repeat: unsafe, aim: 500ms, deadline: 2s, worth: 1}
+  - {name: feed, repeat: safe, aim: 500ms, deadline: 2s, worth: 1, stream: true}
+plans:
+  - {name: big, rate: 1000/s, burst: 1000}
+  - {name: small, rate: 1/s, burst: 3}
+studios:
+  - {name: a, plan: big, keys: [ka]}
+  - {name: b, plan: small, keys: [kb]}
+boxes: {file: boxes.yaml, drain-grace: 250ms, full-statuses: [%s]}
+load: {via: answers, fields: [{name: cpu_utilization, is: utilization}, {name: named_metrics.n, is: in-flight}]}
+attempts: {most: 3}
+keeper: {address: "127.0.0.1:1", timeout: 50ms}
+limits: {body: 1KiB, hold-answer: 1KiB, lines-per-box: 4, memory: 16KiB}
+`
+
+const rigAPI = `
+openapi: 3.0.3
+info: {title: t, version: "1"}
+paths:
+  /look: {get: {x-sandyard-class: look, responses: {}}, post: {x-sandyard-class: look, responses: {}}}
+  /book: {post: {x-sandyard-class: book, responses: {}}}
+  /pay: {post: {x-sandyard-class: pay, responses: {}}}
+  /feed: {get: {x-sandyard-class: feed, responses: {}}}
+`
+
+// rig drives the machines by hand: it keeps the wishes for the test to look at and to carry out.
+type rig struct {
+	*testing.T
+	core   *Core
+	shared *Shared
+	now    time.Duration
+	wishes []Wish
+}
+
+func newRig(t *testing.T, boxes, doors int, full string) *rig {
+	t.Helper()
+	list := "boxes:"
+	if boxes == 0 {
+		list = "boxes: []"
+	}
+	for i := range boxes {
+		list += fmt.Sprintf("\n  - {name: box-%d, address: '10.0.0.%d:80'}", i, i)
+	}
+	cfg, err := config.Parse("gateway.yaml", fmt.Appendf(nil, rigConfig, doors, full), []byte(rigAPI), []byte(list))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{T: t, shared: &Shared{Config: cfg, Via: "t"}, now: Start}
+	if r.core, err = NewCore(r.shared, 1, r.now); err != nil {
+		t.Fatal(err)
+	}
+	r.core.List(r.now, cfg.Boxes, time.Time{})
+	r.take()
+	return r
+}
+
+// take adds the core's new wishes to those that are kept.
+func (r *rig) take() { r.wishes = append(r.wishes, r.core.Wishes()...) }
+
+// want takes the first kept wish of a kind out, and fails if there is none.
+func (r *rig) want(k WishKind) Wish {
+	r.Helper()
+	r.take()
+	for i, w := range r.wishes {
+		if w.Kind == k {
+			r.wishes = append(r.wishes[:i:i], r.wishes[i+1:]...)
+			return w
+		}
+	}
+	r.Fatalf("no wish of kind %d among %+v", k, r.wishes)
+	return Wish{}
+}
+
+// none fails if there is a wish of a kind.
+func (r *rig) none(k WishKind) {
+	r.Helper()
+	r.take()
+	for _, w := range r.wishes {
+		if w.Kind == k {
+			r.Fatalf("a wish of kind %d: %+v", k, w)
+		}
+	}
+}
+
+// pass lets time pass, timer by timer.
+func (r *rig) pass(d time.Duration) {
+	for end := r.now + d; ; {
+		next := r.core.Next()
+		if next > end {
+			r.now = end
+			return
+		}
+		r.now = max(r.now, next)
+		r.core.Tick(r.now)
+		r.take()
+	}
+}
+
+func text(method, path, key, more string) []byte {
+	return []byte(method + " " + path + " HTTP/1.1\r\nHost: h\r\nX-Api-Key: " + key + "\r\n" + more + "\r\n")
+}
+
+// ask brings a request in by a client of its own.
+func (r *rig) ask(method, path, key, more string) (*Client, *Exchange) {
+	r.Helper()
+	c := NewClient(r.shared, nil, "192.0.2.1", r.now)
+	ex := c.Feed(r.now, text(method, path, key, more))
+	if ex == nil {
+		r.Fatalf("no exchange: %s", c.Out)
+	}
+	r.core.Arrive(r.now, ex)
+	r.take()
+	return c, ex
+}
+
+// up connects the next line that is asked for and returns it with what is written on it.
+func (r *rig) up() (*Line, *Exchange) {
+	r.Helper()
+	d := r.want(Dial)
+	r.core.LineUp(r.now, d.Line)
+	w := r.want(Write)
+	return w.Line, w.Exchange
+}
+
+// reply feeds an answer of a box through the codec to the core.
+func (r *rig) reply(l *Line, ex *Exchange, s string) *BoxConn {
+	b := NewBoxConn(r.shared)
+	b.Expect(ex)
+	a := b.Feed([]byte(s))
+	r.core.AnswerOn(r.now, l, &a)
+	r.take()
+	return b
+}
+
+const ok200 = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+func (r *rig) final(want string) Wish {
+	r.Helper()
+	w := r.want(Final)
+	if !strings.HasPrefix(string(w.Bytes), "HTTP/1.1 "+want) {
+		r.Fatalf("want %s, got %q", want, w.Bytes)
+	}
+	return w
+}
+
+// quiet fails if anything is held once time has passed.
+func (r *rig) quiet() {
+	r.Helper()
+	r.pass(time.Minute)
+	if reqs, _, _ := r.core.Sizes(); reqs != 0 || r.core.Owed() != 0 || r.shared.Memory.Load() != 0 {
+		r.Fatalf("held: %d exchanges, %d owed, %d bytes", reqs, r.core.Owed(), r.shared.Memory.Load())
+	}
+}
--- /dev/null
+++ b/internal/cli/drill.go
@@ -0,0 +1,123 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+
+	"sandyard/internal/drill"
+	"sandyard/trouble"
+)
+
+// as is the first argument that makes sandyard-drill run as one of the programs it drills, so that a drill needs one
+// file only.
+const as = "--as="
+
+// Drill runs the sandyard-drill program.
+func Drill(args []string, out, errs io.Writer) int {
+	if len(args) > 0 && strings.HasPrefix(args[0], as) {
+		switch strings.TrimPrefix(args[0], as) {
+		case "sandyard":
+			return Gateway(args[1:], out, errs)
+		case "sandyard-standin":
+			return StandIn(args[1:], out, errs)
+		}
+		fmt.Fprintln(errs, "sandyard-drill: no program", args[0])
+		return Usage
+	}
+	var g drillArgs
+	return program("sandyard-drill", "A bad day on real sockets, with the five rules checked from what crossed them.", &g, args, out, errs,
+		&Console{out, errs})
+}
+
+type drillArgs struct {
+	Seed    uint64  `default:"1" help:"Seed of the traffic."`
+	Seconds float64 `default:"45" help:"Seconds of traffic."`
+	Doors   int     `default:"3" help:"Front doors."`
+	Boxes   int     `default:"8" help:"Boxes; the built-in day needs 8."`
+	Rate    float64 `default:"180" help:"Requests a second on a usual second."`
+	Script  string  `type:"existingfile" help:"Troubles to play instead of the built-in day." placeholder:"FILE"`
+	JSON    bool    `help:"Print the outcome as JSON."`
+	Keep    string  `type:"path" help:"Keep the processes' logs and files in this folder." placeholder:"DIR"`
+	Quiet   bool    `help:"Don't tell of troubles as they are played."`
+}
+
+func (a drillArgs) Run(c *Console) error {
+	opt := drill.Options{Seed: a.Seed, Seconds: a.Seconds, Doors: a.Doors, Boxes: a.Boxes, Rate: a.Rate, Keep: a.Keep, Command: self}
+	if a.Doors < 2 || a.Boxes < 1 || !(a.Seconds > 0) || !(a.Rate > 0) {
+		return fmt.Errorf("at least 2 doors, 1 box, and more than 0 seconds and requests are needed")
+	}
+	if a.Script != "" {
+		text, err := os.ReadFile(a.Script)
+		if err != nil {
+			return err
+		}
+		if opt.Script, err = trouble.ReadScript(a.Script, text); err != nil {
+			return err
+		}
+	}
+	if !a.Quiet {
+		opt.Log = c.Errs
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	r, err := drill.Run(ctx, opt)
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		e := json.NewEncoder(c.Out)
+		e.SetIndent("", "  ")
+		if err := e.Encode(r); err != nil {
+			return err
+		}
+	} else {
+		printReport(c.Out, r)
+	}
+	if r.Bad() {
+		return fmt.Errorf("%d violations, not exercised: %v, bad exits: %d", r.Violations, r.Unseen, len(r.Exits))
+	}
+	return nil
+}
+
+func self(program string) (string, []string) {
+	exe, err := os.Executable()
+	if err != nil {
+		exe = os.Args[0]
+	}
+	return exe, []string{as + program}
+}
+
+func printReport(out io.Writer, r drill.Report) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "seed %d: %d tries in %.0f s, %d troubles; %.3f of the worth asked for was served in time\n\n", r.Seed, r.Tries, r.Seconds,
+		r.Troubles, r.WorthShare)
+	fmt.Fprintln(w, "rule\tcases\tviolations\tnearest\tof")
+	for _, rule := range r.Rules {
+		seen := fmt.Sprint(rule.Cases)
+		if rule.Cases == 0 {
+			seen = "not exercised"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\t%s\n", rule.Name, seen, rule.Count, rule.Nearest, rule.Of)
+	}
+	fmt.Fprintln(w, "\nplan\ttries\tserved\tof them late\trefused\tfailed\tlost\tcut\tno door\tworth in time")
+	for _, p := range r.Plans {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\n", p.Plan, p.Tries, p.Served, p.Late, p.Refused, p.Failed, p.Lost, p.Cut, p.NoDoor,
+			p.WorthServedInTime/max(p.WorthAsked, 1e-9))
+	}
+	w.Flush()
+	for _, rule := range r.Rules {
+		for _, v := range rule.Violations {
+			fmt.Fprintf(out, "%s: %s\n", rule.Name, v)
+		}
+	}
+	for _, e := range r.Exits {
+		fmt.Fprintln(out, "exit:", e)
+	}
+}
--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,185 @@
+package cli
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"sandyard/internal/sockets"
+	"sandyard/standin"
+)
+
+// StandIn runs the sandyard-standin program.
+func StandIn(args []string, out, errs io.Writer) int {
+	var g struct {
+		Box    standInBox    `cmd:"" help:"Run a stand-in box."`
+		Keeper standInKeeper `cmd:"" help:"Run a stand-in tally keeper."`
+		Set    standInSet    `cmd:"" help:"Set a fault of a running stand-in: slow 3, hang, reset 20, lose, fault 0.5, refuse, lie 0, stall, delay 200; of the keeper: silent, empty, refuse, stall, delay."`
+		Clear  standInClear  `cmd:"" help:"End a fault of a running stand-in."`
+	}
+	return program("sandyard-standin", "Peers to try a front door against: boxes and a tally keeper.", &g, args, out, errs,
+		&Console{out, errs})
+}
+
+type standInBox struct {
+	Name           string        `default:"box" help:"Its name in records and answers."`
+	Listen         string        `default:"127.0.0.1:0" help:"Address to listen on."`
+	Control        string        `default:"127.0.0.1:0" help:"Address on which faults are set."`
+	Cores          int           `default:"2" help:"Requests worked on at once."`
+	Queue          int           `default:"24" help:"Requests that wait beside those."`
+	Work           time.Duration `default:"20ms" help:"Mean work of a request."`
+	Spread         float64       `default:"1" help:"Coefficient of variation of the work."`
+	ColdShare      float64       `default:"1" help:"Speed at the start, as a share of a warm box's."`
+	ColdTime       time.Duration `help:"Time until it is warm."`
+	OverloadFactor float64       `help:"Work of this multiple of what it can do, within overload-time, makes a cold box fall over."`
+	OverloadTime   time.Duration `help:"See overload-factor."`
+	KeyTTL         time.Duration `name:"key-ttl" default:"10s" help:"Repeats of a key are discarded for so long."`
+	Body           int           `default:"64" help:"Bytes of an answer's body."`
+	Seed           uint64        `help:"Seed of its draws."`
+	Record         bool          `help:"Print what happens as lines of JSON."`
+}
+
+// BoxFact is a line of a stand-in box's record.
+type BoxFact struct {
+	At   int64            `json:"at"` // Unix time in nanoseconds
+	Box  string           `json:"box"`
+	Kind standin.FactKind `json:"kind"`
+	ID   string           `json:"id,omitempty"`
+	Key  string           `json:"key,omitempty"`
+}
+
+// Ready is the first line that a stand-in prints.
+type Ready struct {
+	Msg     string `json:"msg"` // "listening"
+	Addr    string `json:"addr"`
+	Control string `json:"control"`
+}
+
+// record writes lines from a goroutine of its own, so that a slow reader does not hold up the box.
+type record struct {
+	mu    sync.Mutex
+	lines []byte
+	wake  chan struct{}
+	done  chan struct{}
+}
+
+func newRecord(out io.Writer) *record {
+	r := &record{wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go func() {
+		defer close(r.done)
+		w := bufio.NewWriter(out)
+		for range r.wake {
+			r.mu.Lock()
+			b := r.lines
+			r.lines = nil
+			r.mu.Unlock()
+			w.Write(b)
+			w.Flush()
+		}
+	}()
+	return r
+}
+
+func (r *record) write(v any) {
+	b, _ := json.Marshal(v)
+	r.mu.Lock()
+	r.lines = append(append(r.lines, b...), '\n')
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// close writes what is left.
+func (r *record) close() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+	close(r.wake)
+	<-r.done
+}
+
+func (b standInBox) Run(c *Console) error {
+	rec := newRecord(c.Out)
+	defer rec.close()
+	var facts func(standin.Fact)
+	if b.Record {
+		facts = func(f standin.Fact) {
+			rec.write(BoxFact{time.Now().UnixNano(), f.Box, f.Kind, f.ID, f.Key})
+		}
+	}
+	box, err := sockets.StartBox(b.Listen, standin.BoxConfig{Name: b.Name, Cores: b.Cores, Queue: b.Queue, Work: b.Work, Spread: b.Spread,
+		ColdShare: b.ColdShare, ColdTime: b.ColdTime, OverloadFactor: b.OverloadFactor, OverloadTime: b.OverloadTime, KeyTTL: b.KeyTTL,
+		Body: b.Body, Seed: b.Seed}, facts)
+	if err != nil {
+		return err
+	}
+	defer box.Close()
+	return untilTold(rec, box.Addr(), b.Control, box)
+}
+
+// untilTold says where a stand-in listens and waits for a signal.
+func untilTold(rec *record, addr, control string, f sockets.Faulty) error {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(told)
+	at, stop, err := sockets.Control(control, f)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	rec.write(Ready{"listening", addr, at.String()})
+	<-told
+	return nil
+}
+
+type standInKeeper struct {
+	Listen  string `default:"127.0.0.1:0" help:"Address to listen on."`
+	Control string `default:"127.0.0.1:0" help:"Address on which faults are set."`
+}
+
+func (s standInKeeper) Run(c *Console) error {
+	rec := newRecord(c.Out)
+	defer rec.close()
+	k, err := sockets.StartKeeper(s.Listen)
+	if err != nil {
+		return err
+	}
+	defer k.Close()
+	return untilTold(rec, k.Addr(), s.Control, k)
+}
+
+type standInSet struct {
+	Control string   `required:"" help:"The stand-in's control address." placeholder:"ADDR"`
+	Fault   []string `arg:"" help:"The fault, with its value."`
+}
+
+func (s standInSet) Run(c *Console) error {
+	if err := sockets.SetFault(s.Control, "set "+strings.Join(s.Fault, " ")); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(c.Out, "ok")
+	return err
+}
+
+type standInClear struct {
+	Control string `required:"" help:"The stand-in's control address." placeholder:"ADDR"`
+	Fault   string `arg:"" help:"The fault."`
+}
+
+func (s standInClear) Run(c *Console) error {
+	if err := sockets.SetFault(s.Control, "clear "+s.Fault); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(c.Out, "ok")
+	return err
+}
--- /dev/null
+++ b/internal/drill/process.go
@@ -0,0 +1,131 @@
+package drill
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// process is a child: a front door or a stand-in.
+type process struct {
+	name  string
+	cmd   *exec.Cmd
+	ready chan ready
+	done  chan struct{}
+	err   error
+	log   *os.File
+}
+
+// ready is what a child says of itself in its line with "msg":"listening".
+type ready struct {
+	Msg     string `json:"msg"`
+	Addr    string `json:"addr"`
+	Control string `json:"control"`
+}
+
+const startTime = 15 * time.Second // a child that is not ready by then is given up
+
+// start runs a program of this drill. lines gets what the child prints; it is called by one goroutine.
+func (d *Drill) start(name, program string, args []string, stdout bool, lines func([]byte)) (*process, ready, error) {
+	exe, pre := d.command(program)
+	p := &process{name: name, cmd: exec.Command(exe, append(pre, args...)...), ready: make(chan ready, 1), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the drill
+	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, ready{}, err
+	}
+	p.log = log
+	var pipe io.ReadCloser
+	if stdout {
+		p.cmd.Stderr = log
+		pipe, err = p.cmd.StdoutPipe()
+	} else {
+		pipe, err = p.cmd.StderrPipe()
+	}
+	if err == nil {
+		err = p.spawn()
+	}
+	if err != nil {
+		log.Close()
+		return nil, ready{}, fmt.Errorf("%s: %w", name, err)
+	}
+	go p.read(pipe, lines)
+	select {
+	case r := <-p.ready:
+		return p, r, nil
+	case <-p.done:
+		return nil, ready{}, fmt.Errorf("%s ended before it was ready: %v; see %s", name, p.err, log.Name())
+	case <-time.After(startTime):
+		p.kill()
+		return nil, ready{}, fmt.Errorf("%s was not ready within %v", name, startTime)
+	}
+}
+
+// spawning runs on one thread that never ends: the kernel sends a child's Pdeathsig when the thread that started it
+// does, which is sooner than the process may.
+var spawning = func() chan func() {
+	c := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range c {
+			f()
+		}
+	}()
+	return c
+}()
+
+func (p *process) spawn() error {
+	err := make(chan error, 1)
+	spawning <- func() { err <- p.cmd.Start() }
+	return <-err
+}
+
+func (p *process) read(pipe io.Reader, lines func([]byte)) {
+	in := bufio.NewScanner(pipe)
+	in.Buffer(nil, 1<<20)
+	for in.Scan() {
+		var r ready
+		if json.Unmarshal(in.Bytes(), &r) == nil && r.Msg == "listening" {
+			select {
+			case p.ready <- r:
+			default:
+			}
+		}
+		if lines != nil {
+			lines(in.Bytes())
+		}
+		p.log.Write(append(in.Bytes(), '\n'))
+	}
+	io.Copy(io.Discard, pipe)
+	p.err = p.cmd.Wait()
+	p.log.Close()
+	close(p.done)
+}
+
+func (p *process) kill() {
+	p.cmd.Process.Kill()
+	<-p.done
+}
+
+// stop asks the child to end and tells how it did.
+func (p *process) stop(within time.Duration) error {
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		if p.err != nil {
+			return fmt.Errorf("%s: %w", p.name, p.err)
+		}
+		return nil
+	case <-time.After(within):
+		p.kill()
+		return fmt.Errorf("%s did not end within %v of SIGTERM", p.name, within)
+	}
+}
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,89 @@
+package resp
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func all(text []byte, cuts []int) string {
+	var r Reader
+	var out strings.Builder
+	at := 0
+	for _, c := range append(cuts, len(text)) {
+		if c < at {
+			continue
+		}
+		b := text[at:c]
+		at = c
+		for {
+			n, v, whole, err := r.Feed(b)
+			b = b[n:]
+			if err != nil {
+				fmt.Fprintln(&out, err)
+				return out.String()
+			}
+			if !whole {
+				break
+			}
+			fmt.Fprintf(&out, "%+v\n", v)
+		}
+	}
+	return out.String()
+}
+
+func TestAnySplit(t *testing.T) {
+	pieces := []string{"+OK\r\n", "-ERR x\r\n", ":12\r\n", "$3\r\nabc\r\n", "$-1\r\n", "*2\r\n", "*0\r\n", "*-1\r\n", "_\r\n", "$0\r\n\r\n",
+		"$3\r\n", "abc", "\r\n", "\n", ":x\r\n", "*9999999\r\n", "$99999999\r\n"}
+	rapid.Check(t, func(t *rapid.T) {
+		text := []byte(strings.Join(rapid.SliceOfN(rapid.SampledFrom(pieces), 1, 10).Draw(t, "pieces"), ""))
+		cuts := rapid.SliceOfN(rapid.IntRange(0, len(text)), 0, 10).Draw(t, "cuts")
+		if a, b := all(text, nil), all(text, cuts); a != b {
+			t.Fatalf("at once:\n%ssplit:\n%s", a, b)
+		}
+	})
+}
+
+func TestCommandsReadBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		args := rapid.SliceOfN(rapid.String(), 1, 6).Draw(t, "args")
+		var r Reader
+		n, v, whole, err := r.Feed(AppendCommand(nil, args...))
+		var got []string
+		for _, i := range v.Items {
+			got = append(got, i.Str)
+		}
+		if !whole || err != nil || n == 0 || !reflect.DeepEqual(got, args) {
+			t.Fatalf("%q read back as %q, %v", args, got, err)
+		}
+	})
+}
+
+func TestBounds(t *testing.T) {
+	for _, s := range []string{"$600000\r\n", "*2000\r\n", strings.Repeat("*1\r\n", 10), "+" + strings.Repeat("x", 600)} {
+		if got := all([]byte(s), nil); !strings.Contains(got, ErrSize.Error()) {
+			t.Errorf("%.20q: %s", s, got)
+		}
+	}
+	for _, s := range []string{"?\r\n", ":\r\n", "$x\r\n", "$-2\r\n", "$1\r\nabc", "+a\rb\r\n", "\r\n"} {
+		if got := all([]byte(s), nil); !strings.Contains(got, ErrSyntax.Error()) {
+			t.Errorf("%q: %s", s, got)
+		}
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add([]byte("*2\r\n$3\r\nabc\r\n:1\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		cuts := make([]int, len(text))
+		for i := range cuts {
+			cuts[i] = i
+		}
+		if a, b := all(text, nil), all(text, cuts); a != b {
+			t.Fatalf("at once:\n%sbyte by byte:\n%s", a, b)
+		}
+	})
+}
--- a/config/decode.go
+++ b/internal/strict/strict.go
@@ -1,4 +1,6 @@
-package config
+// Package strict reads YAML into structs: unknown keys, wrong types and values without their units are mistakes, and
+// reading goes on after each, so that all are told at once, with file, line and field.
+package strict
 
 import (
 	"fmt"
@@ -15,18 +17,18 @@
 	"sandyard/internal/diag"
 )
 
-// decoder reads a YAML document into structs strictly: unknown keys, wrong types and values out of range are
-// problems, and it goes on after each, so that all are told at once.
-type decoder struct {
+// Document is a file that was read, with its mistakes. Checks of one's own add to them with Say.
+type Document struct {
+	Problems diag.Problems
 	file     string
-	problems diag.Problems
 	places   map[string]place // where each field stands, by its dotted name
 }
 
 type place struct{ line, column int }
 
-func decode(file string, text []byte, into any) *decoder {
-	d := &decoder{file: file, places: map[string]place{}}
+// Read reads a document into a pointer to a struct whose fields name their keys in yaml tags.
+func Read(file string, text []byte, into any) *Document {
+	d := &Document{file: file, places: map[string]place{}}
 	f, err := parser.ParseBytes(text, 0)
 	if err != nil {
 		line, column := 1, 1
@@ -34,19 +36,25 @@
 			line, column = se.GetToken().Position.Line, se.GetToken().Position.Column
 		}
 		msg, _, _ := strings.Cut(err.Error(), "\n")
-		d.problems = append(d.problems, diag.Problem{File: file, Line: line, Column: column, Message: "not YAML: " + msg})
+		d.Problems = append(d.Problems, diag.Problem{File: file, Line: line, Column: column, Message: "not YAML: " + msg})
 		return d
 	}
 	if len(f.Docs) != 1 || f.Docs[0].Body == nil {
-		d.problems = append(d.problems, diag.Problem{File: file, Line: 1, Message: "expected one document with settings"})
+		d.Problems = append(d.Problems, diag.Problem{File: file, Line: 1, Message: "expected one document with settings"})
 		return d
 	}
 	d.value(f.Docs[0].Body, reflect.ValueOf(into).Elem(), "")
 	return d
 }
 
-// say adds a problem at a field that was read, or at the nearest thing around it.
-func (d *decoder) say(field, format string, args ...any) {
+// Has tells whether the document has a field, by its dotted name.
+func (d *Document) Has(field string) bool { _, ok := d.places[field]; return ok }
+
+// Whole tells whether the document could be read at all.
+func (d *Document) Whole() bool { return len(d.places) > 0 }
+
+// Say adds a problem at a field that was read, or at the nearest thing around it.
+func (d *Document) Say(field, format string, args ...any) {
 	p := diag.Problem{File: d.file, Line: 1, Field: field, Message: fmt.Sprintf(format, args...)}
 	for at := field; at != ""; {
 		if where, ok := d.places[at]; ok {
@@ -55,39 +63,39 @@
 		}
 		at = at[:max(0, strings.LastIndexAny(at, ".["))]
 	}
-	d.problems = append(d.problems, p)
+	d.Problems = append(d.Problems, p)
 }
 
-func (d *decoder) sayAt(n ast.Node, field, format string, args ...any) {
+func (d *Document) sayAt(n ast.Node, field, format string, args ...any) {
 	d.note(n, field)
-	d.say(field, format, args...)
+	d.Say(field, format, args...)
 }
 
-func (d *decoder) note(n ast.Node, field string) {
+func (d *Document) note(n ast.Node, field string) {
 	if t := n.GetToken(); t != nil && t.Position != nil {
 		d.places[field] = place{t.Position.Line, t.Position.Column}
 	}
 }
 
-// Texts that have a form of their own.
-type texted interface{ fromText(string) error }
+// Text is a value with a form of its own.
+type Text interface{ FromText(string) error }
 
-func (d *decoder) value(n ast.Node, v reflect.Value, field string) {
+func (d *Document) value(n ast.Node, v reflect.Value, field string) {
 	d.note(n, field)
 	switch m := n.(type) {
 	case *ast.AnchorNode:
 		d.value(m.Value, v, field)
 		return
 	case *ast.AliasNode, *ast.TagNode, *ast.MergeKeyNode:
-		d.say(field, "anchors, aliases and tags are not taken here")
+		d.Say(field, "anchors, aliases and tags are not taken here")
 		return
 	}
-	if t, ok := v.Addr().Interface().(texted); ok {
+	if t, ok := v.Addr().Interface().(Text); ok {
 		s, ok := scalar(n)
 		if !ok {
-			d.say(field, "expected a single value")
-		} else if err := t.fromText(s); err != nil {
-			d.say(field, "%q: %v", s, err)
+			d.Say(field, "expected a single value")
+		} else if err := t.FromText(s); err != nil {
+			d.Say(field, "%q: %v", s, err)
 		}
 		return
 	}
@@ -97,7 +105,7 @@
 	case reflect.Slice:
 		seq, ok := n.(*ast.SequenceNode)
 		if !ok {
-			d.say(field, "expected a list")
+			d.Say(field, "expected a list")
 			return
 		}
 		for i, item := range seq.Values {
@@ -108,7 +116,7 @@
 	case reflect.Map:
 		pairs, ok := mapping(n)
 		if !ok {
-			d.say(field, "expected a mapping")
+			d.Say(field, "expected a mapping")
 			return
 		}
 		v.Set(reflect.MakeMap(v.Type()))
@@ -143,11 +151,11 @@
 	return nil, false
 }
 
-func (d *decoder) structure(n ast.Node, v reflect.Value, field string) {
+func (d *Document) structure(n ast.Node, v reflect.Value, field string) {
 	pairs, ok := mapping(n)
 	if !ok {
 		if _, null := n.(*ast.NullNode); !null {
-			d.say(field, "expected a mapping")
+			d.Say(field, "expected a mapping")
 		}
 		return
 	}
@@ -223,10 +231,10 @@
 	return "", false
 }
 
-func (d *decoder) scalar(n ast.Node, v reflect.Value, field string) {
+func (d *Document) scalar(n ast.Node, v reflect.Value, field string) {
 	s, ok := scalar(n)
 	if !ok {
-		d.say(field, "expected a single value")
+		d.Say(field, "expected a single value")
 		return
 	}
 	switch v.Kind() {
@@ -234,33 +242,33 @@
 		v.SetString(s)
 	case reflect.Bool:
 		if _, ok := n.(*ast.BoolNode); !ok {
-			d.say(field, "%q: expected true or false", s)
+			d.Say(field, "%q: expected true or false", s)
 			return
 		}
 		v.SetBool(s == "true")
 	case reflect.Int:
 		x, err := strconv.Atoi(s)
 		if err != nil {
-			d.say(field, "%q: expected a whole number", s)
+			d.Say(field, "%q: expected a whole number", s)
 			return
 		}
 		v.SetInt(int64(x))
 	case reflect.Float64:
 		x, err := strconv.ParseFloat(s, 64)
 		if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
-			d.say(field, "%q: expected a number", s)
+			d.Say(field, "%q: expected a number", s)
 			return
 		}
 		v.SetFloat(x)
 	default:
-		panic("config: no way to read a " + v.Kind().String())
+		panic("strict: no way to read a " + v.Kind().String())
 	}
 }
 
 // Duration is written as 600ms or 2.5s.
 type Duration time.Duration
 
-func (t *Duration) fromText(s string) error {
+func (t *Duration) FromText(s string) error {
 	d, err := time.ParseDuration(s)
 	if err != nil || d < 0 {
 		return fmt.Errorf("expected a time such as 600ms or 2.5s")
@@ -272,7 +280,7 @@
 // Rate is units a second, written as 12/s or 30/min.
 type Rate float64
 
-func (r *Rate) fromText(s string) error {
+func (r *Rate) FromText(s string) error {
 	number, per, ok := strings.Cut(s, "/")
 	x, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
 	each := map[string]float64{"s": 1, "min": 60, "h": 3600}[strings.TrimSpace(per)]
@@ -286,7 +294,7 @@
 // Size is bytes, written as 64KiB or 1MiB.
 type Size int
 
-func (z *Size) fromText(s string) error {
+func (z *Size) FromText(s string) error {
 	units := []struct {
 		name string
 		by   int
--- /dev/null
+++ b/routes/routes_test.go
@@ -0,0 +1,140 @@
+package routes
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sandyard/choice"
+	"sandyard/internal/diag"
+)
+
+const head = "openapi: 3.0.3\ninfo: {title: t, version: '1'}\npaths:\n"
+
+func get(path string) string {
+	return "  " + path + ":\n    get:\n      x-sandyard-class: c\n      responses: {}\n"
+}
+
+func TestLook(t *testing.T) {
+	table, err := Compile("api.yaml", []byte(head+get("/a")+get("/a/{x}")+get("/a/new")+get("/a/{x}/b")+get("/{y}/c/d")+
+		"  /units:\n    x-sandyard-class: c\n    post:\n      x-sandyard-units: {in: query, name: n, default: 2, most: 8}\n"+
+		"      x-sandyard-repeat: {kind: keyed, ttl: 6s, scope: zone}\n      responses: {}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		method, path, want string
+		v                  Verdict
+	}{
+		{"GET", "/a", "GET /a", Found}, {"HEAD", "/a", "GET /a", Found}, {"POST", "/a", "", NoMethod},
+		{"GET", "/a/7", "GET /a/{x}", Found}, {"GET", "/a/new", "GET /a/new", Found}, {"GET", "/a/new/b", "GET /a/{x}/b", Found},
+		{"GET", "/a/c/d", "GET /{y}/c/d", Found}, {"GET", "/a/", "", NoPath}, {"GET", "/", "", NoPath}, {"GET", "/b", "", NoPath},
+		{"GET", "//a", "", NoPath}, {"GET", "/a/../a", "", BadPath}, {"GET", "/a/%2e%2e/a", "", BadPath}, {"GET", "/a/..", "", BadPath},
+		{"GET", "/%61", "", BadPath}, {"GET", "/a/x%2Fb", "", BadPath}, {"GET", "/a/%zz", "", BadPath}, {"GET", "/a/%", "", BadPath},
+		{"GET", "/a/x%20y", "GET /a/{x}", Found}, {"GET", "*", "", NoPath},
+	} {
+		op, v := table.Look(c.method, c.path)
+		if v != c.v || op != nil && op.ID != c.want {
+			t.Errorf("%s %s: %v %v", c.method, c.path, v, op)
+		}
+	}
+	op, _ := table.Look("POST", "/units")
+	if op.Repeat.Kind != choice.Keyed || op.Repeat.Scope != choice.ScopeZone || op.Repeat.TTL.Seconds() != 6 {
+		t.Errorf("repeat: %+v", op.Repeat)
+	}
+	none := func(string) (string, bool) { return "", false }
+	for query, want := range map[string]float64{"": 2, "n=3": 3, "x=1&n=8": 8, "n=9": -1, "n=x": -1, "n=-1": -1, "n=NaN": -1,
+		"n=1&n=2": -1, "%6e=5": -1, "n=": -1, "n=3&%6E=1": -1} {
+		if u, ok := op.Units.Of(query, none); ok != (want >= 0) || ok && u != want {
+			t.Errorf("units of %q: %v %v, want %v", query, u, ok, want)
+		}
+	}
+	if n := testing.AllocsPerRun(100, func() { table.Look("GET", "/a/new/b"); op.Units.Of("x=1&n=8", none) }); n != 0 {
+		t.Errorf("a look-up allocates %v times", n)
+	}
+}
+
+// TestMistakes: each is told with its line, and all at once.
+func TestMistakes(t *testing.T) {
+	for _, c := range []struct {
+		text  string
+		wants []string
+	}{
+		{head + get("/a") + get("/b") + get("/a"), []string{"api.yaml:12", "first in line 4"}},
+		{head + get("/a/{x}") + get("/a/{y}"), []string{"api.yaml:8", "/a/{x} in line 4"}},
+		{head + "  /a:\n    get: {responses: {}}\n  /b:\n    get: {x-sandyard-clas: c, responses: {}}\n",
+			[]string{"api.yaml:5", "no x-sandyard-class", "x-sandyard-clas: unknown extension"}},
+		{head + get("/a{x}") + get("/{x}/{x}") + get("b") + get("/a/../b"), []string{"whole segment", "stands twice", "begins with /", "dot segments"}},
+		{head + "  /a:\n    x-sandyard-class: c\n    get:\n      x-sandyard-units: {in: body, nam: x, most: -1}\n      responses: {}\n",
+			[]string{"api.yaml:7", "in: expected query or header", "nam: unknown key", "0 or more", "name: expected"}},
+		{head + "  /a:\n    x-sandyard-class: c\n    get:\n      x-sandyard-repeat: keyed\n      responses: {}\n    post:\n      x-sandyard-repeat: often\n      responses: {}\n",
+			[]string{"how long boxes remember", `"often"`}},
+		{"openapi: [", []string{"api.yaml:1"}}, {"", []string{"api.yaml:1"}}, {"swagger: '2.0'\ninfo: {}\npaths: {}\n", []string{"api.yaml:1"}},
+		{"openapi: 3.0.0\ninfo: {title: t, version: '1'}\npaths: {}\n", []string{"no paths"}},
+	} {
+		_, err := Compile("api.yaml", []byte(c.text))
+		var ps diag.Problems
+		if !errors.As(err, &ps) {
+			t.Errorf("%q: taken (%v)", c.text, err)
+			continue
+		}
+		for _, w := range c.wants {
+			if !strings.Contains(err.Error(), w) {
+				t.Errorf("%q\nwant %q in:\n%v", c.text, w, err)
+			}
+		}
+	}
+}
+
+// TestLookAgainstList: the tree finds what trying all templates finds, literals first.
+func TestLookAgainstList(t *testing.T) {
+	segment := rapid.SampledFrom([]string{"a", "b", "{x}"})
+	rapid.Check(t, func(t *rapid.T) {
+		seen, text := map[string]bool{}, head
+		var templates [][]string
+		for range rapid.IntRange(1, 12).Draw(t, "templates") {
+			segs := rapid.SliceOfN(segment, 1, 4).Draw(t, "segments")
+			for i := range segs { // names of parameters are unique in a path
+				if segs[i] == "{x}" {
+					segs[i] = "{x" + string(rune('0'+i)) + "}"
+				}
+			}
+			p := "/" + strings.Join(segs, "/")
+			if !seen[p] {
+				seen[p] = true
+				templates = append(templates, segs)
+				text += get(p)
+			}
+		}
+		table, err := Compile("api.yaml", []byte(text))
+		if err != nil {
+			t.Fatalf("%v\n%s", err, text)
+		}
+		path := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 4).Draw(t, "path")
+		best := ""
+		rank := ""
+		for _, segs := range templates {
+			if len(segs) != len(path) {
+				continue
+			}
+			r, ok := "", true
+			for i, s := range segs {
+				if s[0] == '{' {
+					r += "1"
+				} else {
+					r += "0"
+					ok = ok && s == path[i]
+				}
+			}
+			if ok && (best == "" || r < rank) {
+				best, rank = "GET /"+strings.Join(segs, "/"), r
+			}
+		}
+		op, _ := table.Look("GET", "/"+strings.Join(path, "/"))
+		if op == nil && best != "" || op != nil && op.ID != best {
+			t.Fatalf("%v: got %v, want %q", path, op, best)
+		}
+	})
+}
--- /dev/null
+++ b/standin/standin_test.go
@@ -0,0 +1,152 @@
+package standin
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"sandyard/trouble"
+)
+
+func request(id, key string) []byte {
+	s := "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\n"
+	if key != "" {
+		s += "Idempotency-Key: " + key + "\r\n"
+	}
+	return []byte(s + "Content-Length: 0\r\n\r\n")
+}
+
+type bench struct {
+	*Box
+	facts []Fact
+}
+
+func newBench(c BoxConfig) *bench {
+	b := &bench{}
+	c.Name = "b"
+	b.Box = NewBox(c, time.Second)
+	b.Facts = func(f Fact) { b.facts = append(b.facts, f) }
+	return b
+}
+
+func (b *bench) count(k FactKind) (n int) {
+	for _, f := range b.facts {
+		if f.Kind == k {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *bench) run(until time.Duration) {
+	for t := b.Next(); t != 0 && t <= until; t = b.Next() {
+		b.Advance(t, func(j *Job) { j.Conn().Done(t, j) })
+	}
+}
+
+func TestBoxQueues(t *testing.T) {
+	b := newBench(BoxConfig{Cores: 1, Queue: 1, Work: 100 * time.Millisecond})
+	var conns []*BoxConn
+	for range 3 {
+		c := b.NewConn()
+		c.Feed(time.Second, request("r", ""))
+		conns = append(conns, c)
+	}
+	if got := string(conns[2].Out); !strings.HasPrefix(got, "HTTP/1.1 503") {
+		t.Fatalf("beyond the queue: %q", got)
+	}
+	b.run(time.Second + 150*time.Millisecond)
+	if len(conns[0].Out) == 0 || len(conns[1].Out) != 0 {
+		t.Fatal("one core has worked on both, or on none")
+	}
+	b.run(2 * time.Second)
+	if len(conns[1].Out) == 0 || b.count(Ran) != 2 {
+		t.Fatalf("ran %d", b.count(Ran))
+	}
+}
+
+func TestBoxFaults(t *testing.T) {
+	feed := func(v trouble.Verb, value float64) (*bench, *BoxConn) {
+		b := newBench(BoxConfig{Work: 10 * time.Millisecond})
+		b.Set(time.Second, v, value, true)
+		c := b.NewConn()
+		c.Feed(time.Second, request("r", "k"))
+		b.run(10 * time.Second)
+		return b, c
+	}
+	if b, c := feed(trouble.Hang, 0); len(c.Out) != 0 || b.count(Ran) != 0 || b.count(Received) != 1 {
+		t.Error("hang works or answers")
+	}
+	if b, c := feed(trouble.Lose, 0); len(c.Out) != 0 || !c.Close || b.count(Ran) != 1 {
+		t.Error("lose: no work, or an answer")
+	}
+	if b, c := feed(trouble.Reset, 10); len(c.Out) != 10 || !c.Abort || b.count(Ran) != 1 {
+		t.Error("reset: not after 10 bytes")
+	}
+	if b, c := feed(trouble.Fault, 1); !strings.HasPrefix(string(c.Out), "HTTP/1.1 500") || b.count(Ran) != 0 {
+		t.Error("fault: worked, or no 500")
+	}
+	b, c := feed(trouble.Hang, 0)
+	b.Set(10*time.Second, trouble.Hang, 0, false)
+	b.Advance(10*time.Second, func(*Job) {})
+	b.run(11 * time.Second)
+	if len(c.Out) == 0 {
+		t.Error("a hang that is over leaves its requests hanging")
+	}
+}
+
+func TestKeyedRepeatsRunOnce(t *testing.T) {
+	b := newBench(BoxConfig{KeyTTL: time.Second})
+	c := b.NewConn()
+	c.Feed(time.Second, request("1", "k"))
+	c.Feed(1500*time.Millisecond, request("2", "k"))
+	if b.count(Ran) != 1 || b.count(Repeated) != 1 {
+		t.Fatalf("%+v", b.facts)
+	}
+	c.Feed(2500*time.Millisecond, request("3", "k"))
+	if b.count(Ran) != 2 {
+		t.Fatal("a key is remembered for ever")
+	}
+}
+
+func TestColdBoxFallsOver(t *testing.T) {
+	b := newBench(BoxConfig{Cores: 1, Queue: 1000, Work: 100 * time.Millisecond, ColdShare: 0.2, ColdTime: 10 * time.Second,
+		OverloadFactor: 2, OverloadTime: time.Second})
+	for i := 0; i < 100 && !b.Fallen(); i++ {
+		b.NewConn().Feed(time.Second, request("r", ""))
+	}
+	if n := b.count(Received); !b.Fallen() || n < 3 || n > 6 {
+		t.Fatalf("fallen %v after %d: 0.4 s of work in a second is its limit", b.Fallen(), n)
+	}
+}
+
+func TestKeeperExpiry(t *testing.T) {
+	k := NewKeeper()
+	c := k.NewConn()
+	say := func(now time.Duration, s string) string {
+		c.Out = nil
+		c.Feed(now, []byte(s))
+		return string(c.Out)
+	}
+	incr := "*3\r\n$11\r\nINCRBYFLOAT\r\n$1\r\na\r\n$3\r\n1.5\r\n"
+	pexp := "*4\r\n$7\r\nPEXPIRE\r\n$1\r\na\r\n$4\r\n1000\r\n$2\r\nNX\r\n"
+	if got := say(time.Second, incr+pexp); got != "$3\r\n1.5\r\n:1\r\n" {
+		t.Fatalf("%q", got)
+	}
+	if got := say(1900*time.Millisecond, incr+pexp); got != "$1\r\n3\r\n:0\r\n" {
+		t.Fatalf("a second NX: %q", got)
+	}
+	if got := say(2*time.Second, incr); got != "$3\r\n1.5\r\n" {
+		t.Fatalf("after its life: %q", got)
+	}
+	k.Set(trouble.Silent, 0, true)
+	if got := say(2*time.Second, incr); got != "" || k.Total(2*time.Second, "a") != 3 {
+		t.Fatalf("silent: %q", got)
+	}
+	if c := k.NewConn(); true {
+		c.Feed(0, []byte("GET / HTTP/1.1\r\n\r\n"))
+		if !c.Close {
+			t.Error("HTTP is taken for RESP")
+		}
+	}
+}
