--- a/door/core.go
+++ b/door/core.go
@@ -209,12 +209,8 @@
 	c.Stats.Left++
 	c.owed--
 	if relaying { // the line that carries the answer stops; the gateway hears of its end
-		for n := range ex.attempts {
-			if a := &ex.attempts[n]; a.open && a.line.state == busy {
-				c.hang(a.line)
-				c.lose(ex, n, choice.Cancelled, true)
-			}
-		}
+		c.hang(ex.carrier)
+		c.lose(ex, ex.relay, choice.Cancelled, true)
 	}
 	c.tell(choice.ClientLeft{Request: ex.ID})
 	c.forget(ex)
@@ -421,6 +417,7 @@
 		c.Stats.Broken++
 		c.wish(Wish{Kind: Cut, Exchange: ex})
 		c.lose(ex, n, o, true)
+		c.forget(ex)
 		return
 	}
 	ex.take(stepLost)
@@ -472,10 +469,16 @@
 			c.ended(ex, n, choice.AttemptEnded{Outcome: o, Settled: ex.state != Trying, Load: a.Load, Units: a.Units})
 			break
 		}
-		ex.Status, ex.relay = a.Status, n
+		ex.Status, ex.relay, ex.carrier = a.Status, n, l
 		l.load, l.units = a.Load, a.Units
 		c.wish(Wish{Kind: Grant, Line: l, Exchange: ex, Bytes: a.Bytes, Closes: a.Close})
-		c.later(choice.StreamStarted{Request: ex.ID, Attempt: n, Server: l.box.entry.Server})
+		if c.set.Config.Settings.Classes[ex.Class].Stream {
+			c.later(choice.StreamStarted{Request: ex.ID, Attempt: n, Server: l.box.entry.Server})
+			break
+		}
+		// The box has done its part. What the rest takes is up to how fast the client reads, and must not look
+		// like a slow box to the gateway.
+		c.ended(ex, n, choice.AttemptEnded{Outcome: choice.OK, Settled: true, Load: a.Load, Units: a.Units})
 	case Over:
 		l.ex = nil
 		if a.Reuse {
@@ -488,6 +491,7 @@
 			c.Stats.Served++
 		}
 		c.ended(ex, n, choice.AttemptEnded{Outcome: choice.OK, Settled: true, Load: l.load, Units: l.units})
+		c.forget(ex)
 	case Broken:
 		l.ex = nil
 		c.hang(l)
--- a/door/core_test.go
+++ b/door/core_test.go
@@ -350,6 +350,29 @@
 	r.quiet()
 }
 
+// TestSlowReaderIsNoSlowBox: how long a client takes over a large answer is not told to the gateway as the box's
+// time; others are let in as before.
+func TestSlowReaderIsNoSlowBox(t *testing.T) {
+	r := newRig(t, 1, 1, "")
+	for range 30 {
+		_, ex := r.ask("GET", "/look", "ka", "")
+		l, _ := r.up()
+		b := r.reply(l, ex, "HTTP/1.1 200 OK\r\nContent-Length: 3000\r\n\r\n"+strings.Repeat("x", 2000))
+		r.want(Grant)
+		r.pass(5 * time.Second)
+		a := b.Feed([]byte(strings.Repeat("x", 1000)))
+		r.core.AnswerOn(r.now, l, &a)
+		r.core.List(r.now, nil, time.Time{}) // so that each has a line of its own
+		r.core.List(r.now, entries(1, 0), time.Time{})
+		r.wishes = nil
+	}
+	_, ex := r.ask("GET", "/look", "ka", "")
+	l, _ := r.up()
+	r.reply(l, ex, ok200)
+	r.final("200")
+	r.quiet()
+}
+
 // TestFullStatuses: a 503 only means "turned away unseen" where the configuration says so; else an unsafe request
 // that got one may have run.
 func TestFullStatuses(t *testing.T) {
--- a/door/exchange.go
+++ b/door/exchange.go
@@ -88,8 +88,9 @@
 
 	state    State
 	attempts []attempt
-	open     int // attempts out
-	relay    int // the attempt whose answer flows
+	open     int   // attempts out
+	relay    int   // the attempt whose answer flows,
+	carrier  *Line // and its line
 	probe    choice.ServerID
 	isProbe  bool
 	held     int // bytes reserved in Shared.Memory
--- a/internal/sockets/client.go
+++ b/internal/sockets/client.go
@@ -158,6 +158,7 @@
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	if cc.link.broken() {
+		cc.s.log.Debug("client took too long, or went", "client", cc.link.conn.RemoteAddr().String())
 		cc.resume.Signal()
 		return
 	}
--- a/internal/sockets/keeper.go
+++ b/internal/sockets/keeper.go
@@ -45,6 +45,7 @@
 		return
 	}
 	k.s.post(post{kind: keeperUp, keeper: k})
+	k.s.log.Info("keeper connected", "addr", addr)
 	for {
 		b, err := l.read()
 		if err != nil {
--- a/internal/sockets/list.go
+++ b/internal/sockets/list.go
@@ -24,6 +24,7 @@
 		return nil, err
 	}
 	s.post(post{kind: list, boxes: s.placed(slices.Clone(s.cfg.Boxes))})
+	s.readList() // it may have changed since the configuration was read
 	return func(ctx context.Context) error {
 		defer w.Close()
 		for {
