--- /dev/null
+++ b/internal/bench/peers.go
@@ -0,0 +1,70 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+
+	"github.com/valyala/fasthttp"
+)
+
+// The peers that a front door is measured with and against. Each runs as a process of its own and prints where it
+// listens.
+
+func listening(out io.Writer, ln net.Listener) {
+	fmt.Fprintf(out, "{\"msg\":\"listening\",\"addr\":%q}\n", ln.Addr())
+}
+
+// Box answers at once, so that what is measured is the way to it.
+func Box(out io.Writer) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	listening(out, ln)
+	body := []byte("clay and glaze, clay and glaze, clay and glaze, clay and glaze, ")
+	s := &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) {
+		c.Response.Header.Set("endpoint-load-metrics", "TEXT cpu_utilization=0.100, named_metrics.in_flight=1")
+		c.SetBody(body)
+	}, DisableKeepalive: false, Concurrency: 1 << 20}
+	return s.Serve(ln)
+}
+
+// ReverseProxy is net/http/httputil's, with a transport that keeps as many connections as it needs.
+func ReverseProxy(out io.Writer, box string) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	listening(out, ln)
+	target := &url.URL{Scheme: "http", Host: box}
+	p := &httputil.ReverseProxy{
+		Rewrite:   func(r *httputil.ProxyRequest) { r.SetURL(target); r.SetXForwarded() },
+		Transport: &http.Transport{MaxIdleConns: 4096, MaxIdleConnsPerHost: 4096, DisableCompression: true},
+		ErrorLog:  log.New(io.Discard, "", 0),
+	}
+	return http.Serve(ln, p)
+}
+
+// FastHTTP is a proxy made of fasthttp's client and server.
+func FastHTTP(out io.Writer, box string) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	listening(out, ln)
+	client := &fasthttp.HostClient{Addr: box, MaxConns: 4096}
+	s := &fasthttp.Server{Concurrency: 1 << 20, Handler: func(c *fasthttp.RequestCtx) {
+		c.Request.Header.Del("Connection")
+		if err := client.Do(&c.Request, &c.Response); err != nil {
+			c.Error("bad gateway", 502)
+			return
+		}
+		c.Response.Header.Del("Connection")
+	}}
+	return s.Serve(ln)
+}
--- /dev/null
+++ b/internal/cli/bench.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"sandyard/internal/bench"
+)
+
+// Bench runs the sandyard-bench program.
+func Bench(args []string, out, errs io.Writer) int {
+	if len(args) > 0 && strings.HasPrefix(args[0], as) {
+		var err error
+		switch rest := args[1:]; strings.TrimPrefix(args[0], as) {
+		case "sandyard":
+			return Gateway(rest, out, errs)
+		case "box":
+			err = bench.Box(out)
+		case "reverseproxy":
+			err = bench.ReverseProxy(out, rest[0])
+		case "fasthttp":
+			err = bench.FastHTTP(out, rest[0])
+		}
+		fmt.Fprintln(errs, err)
+		return Failure
+	}
+	var b benchArgs
+	return program("sandyard-bench", "A front door beside proxies without decisions, in one run.", &b, args, out, errs, &Console{out, errs})
+}
+
+type benchArgs struct {
+	Conns   []int   `default:"1,64,1024" help:"Numbers of connections."`
+	Seconds float64 `default:"3" help:"Seconds of each load."`
+	Rounds  int     `default:"3" help:"Rounds, played in turn; medians are told."`
+	Idle    int     `default:"10000" help:"Idle connections whose memory is measured; 0 for none."`
+}
+
+func (b benchArgs) Run(c *Console) error {
+	if b.Rounds < 1 || !(b.Seconds > 0) {
+		return fmt.Errorf("at least one round and more than 0 seconds are needed")
+	}
+	return bench.Run(bench.Options{Conns: b.Conns, Seconds: b.Seconds, Rounds: b.Rounds, Idle: b.Idle, Out: c.Out, Command: self})
+}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -32,7 +32,8 @@
 	Boxes   int     // 8
 	Rate    float64 // requests a second that are asked for on a usual second; 180
 	Script  *trouble.Script
-	Keep    string // folder for the processes' logs; a temporary one that is removed, if empty
+	Slack   time.Duration // between where things happen and where they are noted; 150 ms
+	Keep    string        // folder for the processes' logs; a temporary one that is removed, if empty
 	Log     io.Writer
 	// Command says how to run a program: "sandyard" or "sandyard-standin".
 	Command func(program string) (exe string, args []string)
@@ -62,7 +63,6 @@
 	overloadTime   = 2 * time.Second
 	drainGrace     = time.Second
 	keyTTL         = 6 * time.Second
-	slack          = 150 * time.Millisecond // between where something happens and where it is noted, on a loaded machine
 	clientRetries  = 2
 )
 
@@ -181,6 +181,9 @@
 	if opt.Boxes == 0 {
 		opt.Boxes = 8
 	}
+	if opt.Slack == 0 {
+		opt.Slack = 150 * time.Millisecond
+	}
 	if opt.Script == nil {
 		opt.Script = Day(opt.Seconds)
 	}
@@ -191,7 +194,7 @@
 		}
 	}
 	d := &Drill{opt: opt, dir: opt.Keep, start0: time.Now(), surge: 1, surges: map[string]float64{},
-		audit: audit.New(audit.Limits{DrainGrace: drainGrace, Slack: slack, KeyTTL: keyTTL, ColdShare: coldShare,
+		audit: audit.New(audit.Limits{DrainGrace: drainGrace, Slack: opt.Slack, KeyTTL: keyTTL, ColdShare: coldShare,
 			ColdTime: coldTime, OverloadFactor: overloadFactor, OverloadTime: overloadTime, Cores: cores, Ceilings: ceilings})}
 	if d.dir == "" {
 		dir, err := os.MkdirTemp("", "sandyard-drill-")
@@ -519,8 +522,10 @@
 	switch e.Verb {
 	case trouble.Surge:
 		d.setSurge(e, true)
-		sleep(ctx, e.For)
-		d.setSurge(e, false)
+		if e.For > 0 {
+			sleep(ctx, e.For)
+			d.setSurge(e, false)
+		}
 		return nil
 	case trouble.Move:
 		d.mu.Lock()
--- /dev/null
+++ b/internal/drill/drill_test.go
@@ -0,0 +1,177 @@
+package drill_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sandyard/internal/cli"
+	"sandyard/internal/drill"
+	"sandyard/trouble"
+)
+
+// TestMain lets the test's own binary stand for the programs that a drill starts.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && strings.HasPrefix(os.Args[1], "--as=") {
+		if strings.HasPrefix(os.Args[1], "--as=broken-") {
+			brokenDoor(strings.TrimPrefix(os.Args[1], "--as=broken-"), os.Args[2:])
+			return
+		}
+		os.Exit(cli.Drill(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// slack is generous: a test machine that is busy with other tests must not look like a broken rule.
+const slack = 700 * time.Millisecond
+
+func run(t *testing.T, door string, seconds float64, events ...trouble.Event) drill.Report {
+	t.Helper()
+	exe, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	opt := drill.Options{Seed: 5, Seconds: seconds, Rate: 150, Doors: 2, Boxes: 4, Slack: slack, Command: func(p string) (string, []string) {
+		if p == "sandyard" && door != "" {
+			return exe, []string{"--as=broken-" + door}
+		}
+		return exe, []string{"--as=" + p}
+	}}
+	if len(events) > 0 {
+		opt.Script = &trouble.Script{Version: trouble.Version, Events: events}
+	}
+	r, err := drill.Run(context.Background(), opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+const sec = time.Second
+
+// TestShortDay: a few troubles on real processes, and no rule broken.
+func TestShortDay(t *testing.T) {
+	r := run(t, "", 8, trouble.Event{At: sec, For: 2 * sec, Verb: trouble.Surge, Target: "school-0", Value: 12},
+		trouble.Event{At: sec, For: sec, Verb: trouble.Replace, Target: "box-0"},
+		trouble.Event{At: 3 * sec, For: sec, Verb: trouble.Lose, Target: "box-1"},
+		trouble.Event{At: 4 * sec, For: sec, Verb: trouble.Kill, Target: "door-1"},
+		trouble.Event{At: 5 * sec, For: sec, Verb: trouble.Silent, Target: "keeper"})
+	if r.Bad() {
+		b, _ := json.MarshalIndent(r, "", " ")
+		t.Errorf("%s", b)
+	}
+}
+
+// TestBrokenDoorsAreFound: for each rule, a front door that breaks it.
+func TestBrokenDoorsAreFound(t *testing.T) {
+	lose := trouble.Event{At: 0, Verb: trouble.Lose, Target: "*"}
+	for _, c := range []struct {
+		door   string
+		rule   int
+		events []trouble.Event
+	}{
+		{"loses", 0, []trouble.Event{{At: sec, For: sec, Verb: trouble.Surge, Target: "*", Value: 1}}},
+		{"repeats", 1, []trouble.Event{lose}},
+		{"repeats", 0, []trouble.Event{lose}},
+		{"stale", 2, []trouble.Event{{At: 200 * time.Millisecond, For: sec, Verb: trouble.Drain, Target: "box-0"}}},
+		{"stale", 3, []trouble.Event{{At: 200 * time.Millisecond, For: sec, Verb: trouble.Replace, Target: "box-0"}, {At: sec, Verb: trouble.Surge, Target: "*", Value: 3}}},
+		{"stale", 4, []trouble.Event{{At: 0, Verb: trouble.Surge, Target: "school-0", Value: 30}}},
+	} {
+		t.Run(fmt.Sprintf("%s-%d", c.door, c.rule), func(t *testing.T) {
+			t.Parallel()
+			r := run(t, c.door, 4, c.events...)
+			if r.Rules[c.rule].Count == 0 {
+				t.Errorf("not found: %+v", r.Rules[c.rule])
+			}
+		})
+	}
+}
+
+// brokenDoor is a front door without any decision: it passes on whatever comes, to one box or to the newest.
+func brokenDoor(how string, args []string) {
+	var conf, listen string
+	for i := range args {
+		switch args[i] {
+		case "--config":
+			conf = args[i+1]
+		case "--listen":
+			listen = args[i+1]
+		}
+	}
+	addrs := func() [][]string {
+		text, _ := os.ReadFile(filepath.Join(filepath.Dir(conf), "boxes.yaml"))
+		return regexp.MustCompile(`name: ([^,]*), address: "([^"]*)"`).FindAllStringSubmatch(string(text), -1)
+	}
+	first := addrs()
+	var n atomic.Int64
+	t := &http.Transport{MaxIdleConnsPerHost: 100}
+	proxy := &httputil.ReverseProxy{Transport: t, Rewrite: func(r *httputil.ProxyRequest) {
+		list := first
+		target := list[n.Add(1)%int64(len(list))][2]
+		if how == "stale" { // all to the first box of the first list, or to a replacement
+			target = first[0][2]
+			if now := addrs(); strings.Contains(now[len(now)-1][1], "-r") {
+				target = now[len(now)-1][2]
+			}
+		}
+		r.SetURL(&url.URL{Scheme: "http", Host: target})
+	}}
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		panic(err)
+	}
+	fmt.Fprintf(os.Stderr, "{\"msg\":\"listening\",\"addr\":%q}\n", ln.Addr())
+	http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch k := n.Add(1); {
+		case how == "loses" && k%50 == 0:
+			<-r.Context().Done()
+		case how == "loses" && k%50 == 1:
+			panic(http.ErrAbortHandler)
+		case how == "repeats":
+			body := []byte("ok")
+			for range 3 {
+				again := r.Clone(context.Background())
+				again.Body = struct {
+					*bytes.Reader
+					nothing
+				}{bytes.NewReader(body), nothing{}}
+				proxy.ServeHTTP(&drop{h: http.Header{}}, again)
+			}
+			w.WriteHeader(429)
+			fmt.Fprint(w, `{"retry":"harmless"}`)
+			go func() { // and once more after the answer
+				time.Sleep(2 * slack)
+				again := r.Clone(context.Background())
+				again.Body = struct {
+					*bytes.Reader
+					nothing
+				}{bytes.NewReader(body), nothing{}}
+				proxy.ServeHTTP(&drop{h: http.Header{}}, again)
+			}()
+		default:
+			proxy.ServeHTTP(w, r)
+		}
+	}))
+}
+
+type nothing struct{}
+
+func (nothing) Close() error { return nil }
+
+type drop struct{ h http.Header }
+
+func (d *drop) Header() http.Header         { return d.h }
+func (d *drop) Write(b []byte) (int, error) { return len(b), nil }
+func (d *drop) WriteHeader(int)             {}
--- a/standin/box.go
+++ b/standin/box.go
@@ -179,18 +179,18 @@
 			return 200
 		}
 	}
-	if len(b.work) >= b.cfg.Cores && len(b.queue) >= b.cfg.Queue {
-		return 503
-	}
 	j.takes = b.draw()
 	if j.Work > 0 {
 		j.takes = j.Work.Seconds()
 	}
-	if b.overloaded(now, j.takes) {
+	if b.overloaded(now, j.takes) { // what is turned away was sent all the same
 		b.fell = true
 		b.tell(now, Fell, j)
 		return 503
 	}
+	if len(b.work) >= b.cfg.Cores && len(b.queue) >= b.cfg.Queue {
+		return 503
+	}
 	if j.Key != "" {
 		b.remember(now, j.Key)
 	}
