--- /dev/null
+++ b/cmd/sandyard-sim/main.go
@@ -0,0 +1,10 @@
+// Command sandyard-sim runs whole deployments in virtual time, under troubles drawn from a seed.
+package main
+
+import (
+	"os"
+
+	"sandyard/internal/cli"
+)
+
+func main() { os.Exit(cli.Sim(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/config/config.go
+++ b/config/config.go
@@ -185,6 +185,28 @@
 // Studio finds a studio by name.
 func (c *Config) Studio(name string) *Customer { return c.byName[name] }
 
+// ForDoor is the configuration as front door number n of a fleet of another size has it. Studios that come in through
+// all doors do so there, too.
+func (c *Config) ForDoor(n, of int) *Config {
+	d := *c
+	d.Door.Number, d.Door.Of = n, of
+	d.Settings.Self, d.Settings.Gateways = n, of
+	d.Settings.Plans = slices.Clone(c.Settings.Plans)
+	d.byKey, d.byName = map[[32]byte]*Customer{}, map[string]*Customer{}
+	for name, cu := range c.byName {
+		own := *cu
+		if own.Spread == c.Door.Of || own.Spread > of {
+			own.Spread = of
+		}
+		own.First %= of
+		d.byName[name] = &own
+	}
+	for sum, cu := range c.byKey {
+		d.byKey[sum] = d.byName[cu.Name]
+	}
+	return &d
+}
+
 // BoxesPath is where the list of boxes is kept.
 func (c *Config) BoxesPath() string { return c.beside(c.File.Boxes.File) }
 
--- a/door/client.go
+++ b/door/client.go
@@ -48,6 +48,8 @@
 	left    int64 // bytes of a skipped body that are still read
 	refusal *problem
 	stash   []byte
+	stashed time.Duration // when its first byte came
+	came    time.Duration // when the bytes that are read did
 	linger  bool
 	last    bool // the answer under way is the connection's last
 }
@@ -103,6 +105,9 @@
 // answered no other follows.
 func (c *Client) Feed(now time.Duration, b []byte) *Exchange {
 	if c.phase == waiting {
+		if len(c.stash) == 0 {
+			c.stashed = now
+		}
 		c.stash = append(c.stash, b...)
 		return nil
 	}
@@ -110,6 +115,7 @@
 		b = append(c.stash, b...)
 		c.stash = nil
 	}
+	c.came = now
 	return c.read(now, b)
 }
 
@@ -119,7 +125,7 @@
 		return nil
 	}
 	b := c.stash
-	c.stash = nil
+	c.stash, c.came = nil, c.stashed
 	return c.read(now, b)
 }
 
@@ -211,7 +217,7 @@
 		case http1.End:
 			c.tail = part.Trailers
 			if ex := c.ended(now); ex != nil {
-				c.stash = append([]byte(nil), b...)
+				c.stash, c.stashed = append([]byte(nil), b...), c.came
 				return ex
 			}
 		}
@@ -345,7 +351,7 @@
 	ex.held = size
 	ex.Wire = c.render(make([]byte, 0, size))
 	c.drop()
-	ex.Arrived = now
+	ex.Arrived = min(now, c.came) // its client has waited since its bytes came, not since the answer before it
 	c.phase, c.since = waiting, now
 	return ex
 }
--- /dev/null
+++ b/internal/cli/sim.go
@@ -0,0 +1,351 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"sandyard/config"
+	"sandyard/internal/virtual"
+)
+
+// Sim runs the sandyard-sim program.
+func Sim(args []string, out, errs io.Writer) int {
+	var g struct {
+		Run      simRun      `cmd:"" help:"Draw scripts from seeds, run them, and hold each to the rules."`
+		Replay   simReplay   `cmd:"" help:"Run a seed or a script again, with a log of its events."`
+		Shrink   simShrink   `cmd:"" help:"Make a script smaller that breaks a rule."`
+		Digest   simDigest   `cmd:"" help:"Print the digest of a run's events."`
+		Generate simGenerate `cmd:"" help:"Print the script of a seed."`
+	}
+	return program("sandyard-sim", "Whole deployments in virtual time, under troubles drawn from a seed, held to the five rules.", &g, args, out, errs,
+		&Console{out, errs})
+}
+
+type simCommon struct {
+	Config  string  `type:"existingfile" help:"Configuration to run on, instead of the built-in one." placeholder:"gateway.yaml"`
+	Seconds float64 `default:"16" help:"Most seconds of traffic, when a script is drawn."`
+	Rate    float64 `default:"60" help:"Most requests a second, when a script is drawn."`
+	Doors   int     `default:"40" help:"Most front doors, when a script is drawn."`
+}
+
+func (c simCommon) profile() virtual.Profile {
+	p := virtual.Usual()
+	p.Seconds, p.Rate, p.MostDoors, p.Config = c.Seconds, c.Rate, c.Doors, c.Config
+	return p
+}
+
+func (c simCommon) options() (virtual.Options, error) {
+	var opt virtual.Options
+	if c.Config != "" {
+		cfg, err := config.Load(c.Config)
+		if err != nil {
+			return opt, err
+		}
+		opt.Config = cfg
+	}
+	return opt, nil
+}
+
+// script is a seed's, or a file's.
+func (c simCommon) script(what string) (*virtual.Script, virtual.Options, error) {
+	if seed, err := strconv.ParseUint(what, 10, 53); err == nil {
+		opt, err := c.options()
+		return virtual.Generate(seed, c.profile()), opt, err
+	}
+	text, err := os.ReadFile(what)
+	if err != nil {
+		return nil, virtual.Options{}, err
+	}
+	s, err := virtual.ReadScript(what, text)
+	if err != nil {
+		return nil, virtual.Options{}, err
+	}
+	if s.Config != "" && c.Config == "" {
+		c.Config = s.Config
+	}
+	opt, err := c.options()
+	return s, opt, err
+}
+
+type simRun struct {
+	simCommon
+	Seeds    string `default:"1-200" help:"Seeds, as FROM-TO."`
+	Workers  int    `help:"Runs side by side; as many as there are processors if absent."`
+	GoOn     bool   `help:"Go on after the first broken rule."`
+	Coverage bool   `default:"true" negatable:"" help:"Print what was reached."`
+	Quiet    bool   `help:"No progress."`
+}
+
+func (r simRun) Run(c *Console) error {
+	from, to, ok := strings.Cut(r.Seeds, "-")
+	if !ok {
+		to = from
+	}
+	first, err1 := strconv.ParseUint(from, 10, 53)
+	last, err2 := strconv.ParseUint(to, 10, 53)
+	if err1 != nil || err2 != nil || last < first {
+		return fmt.Errorf("--seeds %q: expected FROM-TO", r.Seeds)
+	}
+	opt, err := r.options()
+	if err != nil {
+		return err
+	}
+	if r.Workers <= 0 {
+		r.Workers = runtime.GOMAXPROCS(0)
+	}
+	begun := time.Now()
+	var next, done, broken atomic.Uint64
+	next.Store(first)
+	var stop atomic.Bool
+	var mu sync.Mutex
+	reached := map[string]int{}
+	pairs := map[[2]string]int{}
+	var events, tries uint64
+	var virtualTime time.Duration
+	var failure error
+	var wg sync.WaitGroup
+	for range r.Workers {
+		wg.Go(func() {
+			for !stop.Load() {
+				seed := next.Add(1) - 1
+				if seed > last {
+					return
+				}
+				s := virtual.Generate(seed, r.profile())
+				o, err := virtual.Run(s, opt)
+				mu.Lock()
+				if err != nil {
+					failure = err
+					stop.Store(true)
+				}
+				events, virtualTime, tries = events+o.Events, virtualTime+o.Virtual, tries+uint64(o.Tries)
+				var verbs []string
+				for k, n := range o.Reached {
+					reached[k] += n
+					if v, ok := strings.CutPrefix(k, "trouble "); ok {
+						verbs = append(verbs, v)
+					}
+				}
+				slices.Sort(verbs)
+				for i := range verbs {
+					for _, w := range verbs[i+1:] {
+						pairs[[2]string{verbs[i], w}]++
+					}
+				}
+				if len(o.Findings) > 0 {
+					broken.Add(1)
+					f := o.Findings[0]
+					fmt.Fprintf(c.Out, "seed %d: %s, at %v: %s\n  again: sandyard-sim replay %d%s\n", seed, f.Rule, f.At, f.What, seed, r.flags())
+					if !r.GoOn {
+						stop.Store(true)
+					}
+				}
+				if n := done.Add(1); !r.Quiet && n%500 == 0 {
+					took := time.Since(begun)
+					total := last - first + 1
+					fmt.Fprintf(c.Errs, "%d of %d seeds, %d broken, %v, about %v left\n", n, total, broken.Load(), took.Round(time.Second),
+						(time.Duration(float64(took) * float64(total-n) / float64(n))).Round(time.Second))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	if failure != nil {
+		return failure
+	}
+	took := time.Since(begun).Seconds()
+	fmt.Fprintf(c.Out, "%d seeds, %d broken; %d workers, %.1f s: %.0f virtual seconds, %.0f requests and %.0f events a second\n", done.Load(), broken.Load(),
+		r.Workers, took, virtualTime.Seconds()/took, float64(tries)/took, float64(events)/took)
+	if r.Coverage {
+		printCoverage(c.Out, reached, pairs)
+	}
+	if broken.Load() > 0 {
+		return fmt.Errorf("%d seeds broke a rule", broken.Load())
+	}
+	return nil
+}
+
+func (c simCommon) flags() string {
+	s := ""
+	if c.Config != "" {
+		s += " --config " + c.Config
+	}
+	if c.Seconds != 16 || c.Rate != 60 || c.Doors != 40 {
+		s += fmt.Sprintf(" --seconds %g --rate %g --doors %d", c.Seconds, c.Rate, c.Doors)
+	}
+	return s
+}
+
+// printCoverage tells what a search reached, and what it did not.
+func printCoverage(out io.Writer, reached map[string]int, pairs map[[2]string]int) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nreached\ttimes")
+	var keys []string
+	for k := range reached {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		fmt.Fprintf(w, "%s\t%d\n", k, reached[k])
+	}
+	w.Flush()
+	var missed []string
+	for _, k := range virtual.Reachable() {
+		if reached[k] == 0 {
+			missed = append(missed, k)
+		}
+	}
+	verbs := virtual.Verbs()
+	var unpaired []string
+	for i, a := range verbs {
+		for _, b := range verbs[i+1:] {
+			if pairs[[2]string{a, b}] == 0 {
+				unpaired = append(unpaired, a+"+"+b)
+			}
+		}
+	}
+	total := len(verbs) * (len(verbs) - 1) / 2
+	fmt.Fprintf(out, "not reached: %s\n", orNone(missed))
+	fmt.Fprintf(out, "pairs of troubles in one run: %d of %d\n", total-len(unpaired), total)
+	if len(unpaired) > 0 && len(unpaired) <= 40 {
+		fmt.Fprintf(out, "never together: %s\n", strings.Join(unpaired, ", "))
+	}
+}
+
+func orNone(xs []string) string {
+	if len(xs) == 0 {
+		return "nothing"
+	}
+	return strings.Join(xs, ", ")
+}
+
+type simReplay struct {
+	simCommon
+	Script string        `arg:"" help:"A seed, or a script's file."`
+	Until  time.Duration `help:"Stop at this time."`
+	GoOn   bool          `help:"Go on after the first broken rule."`
+	Log    bool          `default:"true" negatable:"" help:"Print the events."`
+	JSON   bool          `help:"Print the outcome as JSON."`
+}
+
+func (r simReplay) Run(c *Console) error {
+	s, opt, err := r.script(r.Script)
+	if err != nil {
+		return err
+	}
+	opt.Until, opt.GoOn = r.Until, r.GoOn
+	if r.Log && !r.JSON {
+		opt.Log = func(at time.Duration, what string) { fmt.Fprintf(c.Out, "%12.6f  %s\n", at.Seconds(), what) }
+	}
+	o, err := virtual.Run(s, opt)
+	if err != nil {
+		return err
+	}
+	if r.JSON {
+		e := json.NewEncoder(c.Out)
+		e.SetIndent("", "  ")
+		if err := e.Encode(o); err != nil {
+			return err
+		}
+	} else {
+		printOutcome(c.Out, o)
+	}
+	if len(o.Findings) > 0 {
+		return fmt.Errorf("%s", o.Findings[0].Rule)
+	}
+	return nil
+}
+
+func printOutcome(out io.Writer, o virtual.Outcome) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "rule\tcases\tviolations\tnearest\tof")
+	for _, r := range o.Verdict.Rules {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.2f\t%s\n", r.Name, r.Cases, r.Count, r.Nearest, r.Of)
+	}
+	fmt.Fprintln(w, "\nplan\ttries\tserved\tof them late\trefused\tfailed\tlost\tcut\tno door\tleft")
+	for _, p := range o.Verdict.Plans {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", p.Plan, p.Tries, p.Served, p.Late, p.Refused, p.Failed, p.Lost, p.Cut, p.NoDoor, p.Left)
+	}
+	w.Flush()
+	for _, f := range o.Findings {
+		fmt.Fprintf(out, "%v: %s: %s\n", f.At, f.Rule, f.What)
+	}
+	fmt.Fprintf(out, "digest %016x, %d events, %d tries, %v\n", o.Digest, o.Events, o.Tries, o.Virtual)
+}
+
+type simShrink struct {
+	simCommon
+	Script string `arg:"" help:"A seed, or a script's file."`
+	Output string `short:"o" help:"File for the script; printed if absent." placeholder:"FILE"`
+	Runs   int    `default:"2000" help:"Most runs to spend."`
+}
+
+func (r simShrink) Run(c *Console) error {
+	s, opt, err := r.script(r.Script)
+	if err != nil {
+		return err
+	}
+	o, err := virtual.Run(s, opt)
+	if err != nil {
+		return err
+	}
+	if len(o.Findings) == 0 {
+		return fmt.Errorf("%s breaks no rule", r.Script)
+	}
+	rule := o.Findings[0].Rule
+	n := 0
+	small := virtual.Shrink(s, opt, rule, r.Runs, func(kept bool, s *virtual.Script) {
+		if n++; kept {
+			fmt.Fprintf(c.Errs, "run %d: %d troubles, %d doors, %d boxes, %g s, %g a second\n", n, len(s.Events), s.Doors, s.Boxes.Count, s.Seconds, s.Rate)
+		}
+	})
+	o, err = virtual.Run(small, opt)
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf("# Breaks \"%s\": %s\n%s", rule, o.Findings[0].What, small.Text())
+	if r.Output == "" {
+		_, err = io.WriteString(c.Out, text)
+		return err
+	}
+	return os.WriteFile(r.Output, []byte(text), 0o644)
+}
+
+type simDigest struct {
+	simCommon
+	Script string `arg:"" help:"A seed, or a script's file."`
+}
+
+func (r simDigest) Run(c *Console) error {
+	s, opt, err := r.script(r.Script)
+	if err != nil {
+		return err
+	}
+	o, err := virtual.Run(s, opt)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.Out, "%016x\n", o.Digest)
+	return err
+}
+
+type simGenerate struct {
+	simCommon
+	Seed uint64 `arg:"" help:"The seed."`
+}
+
+func (r simGenerate) Run(c *Console) error {
+	_, err := io.WriteString(c.Out, virtual.Generate(r.Seed, r.profile()).Text())
+	return err
+}
--- /dev/null
+++ b/internal/virtual/clock.go
@@ -0,0 +1,120 @@
+// Package virtual runs whole deployments in one process and in virtual time: front doors made of the same machines that
+// package sockets runs, stand-in boxes and keepers, clients, and a network that carries bytes. One queue of events and
+// one seed decide everything that happens: the same script gives the same events, byte for byte, on any machine.
+//
+// Nothing here starts a goroutine or reads a clock. A Sim has one owner; any number may run side by side.
+package virtual
+
+import (
+	"encoding/binary"
+	"hash"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+)
+
+// event is something that happens at a time. Events that share one happen in the order of their draws and then of
+// their making: which comes first is a matter of the seed, so that both orders are met.
+type event struct {
+	at  time.Duration
+	tie uint32
+	seq uint64
+	do  func()
+}
+
+func (a *event) before(b *event) bool {
+	if a.at != b.at {
+		return a.at < b.at
+	}
+	if a.tie != b.tie {
+		return a.tie < b.tie
+	}
+	return a.seq < b.seq
+}
+
+// clock is the queue of events.
+type clock struct {
+	now    time.Duration
+	heap   []event
+	seq    uint64
+	events uint64
+	ties   *rand.Rand
+	sum    hash.Hash64
+	log    func(at time.Duration, what string) // nil: no log is wanted
+}
+
+func newClock(seed uint64) *clock {
+	return &clock{ties: stream(seed, "ties"), sum: fnv.New64a()}
+}
+
+// stream is the randomness of one purpose, so that more draws for one don't change the others.
+func stream(seed uint64, purpose string) *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(purpose))
+	return rand.New(rand.NewPCG(seed, h.Sum64()))
+}
+
+// at plans an event.
+func (c *clock) at(t time.Duration, do func()) {
+	c.plan(t, uint32(c.ties.Uint32()>>24), do)
+}
+
+// after plans an event from now.
+func (c *clock) after(d time.Duration, do func()) { c.at(c.now+max(0, d), do) }
+
+// last plans an event behind all others of its time.
+func (c *clock) last(t time.Duration, do func()) { c.plan(t, 1<<31, do) }
+
+func (c *clock) plan(t time.Duration, tie uint32, do func()) {
+	c.seq++
+	c.heap = append(c.heap, event{max(t, c.now), tie, c.seq, do})
+	h := c.heap
+	for i := len(h) - 1; i > 0; {
+		up := (i - 1) / 2
+		if !h[i].before(&h[up]) {
+			break
+		}
+		h[i], h[up] = h[up], h[i]
+		i = up
+	}
+}
+
+// step makes the next event happen; false tells that there is none until a time.
+func (c *clock) step(until time.Duration) bool {
+	h := c.heap
+	if len(h) == 0 || h[0].at > until {
+		return false
+	}
+	e, n := h[0], len(h)-1
+	h[0], h[n] = h[n], event{}
+	c.heap = h[:n]
+	h = c.heap
+	for i := 0; ; {
+		least := i
+		for _, k := range [2]int{2*i + 1, 2*i + 2} {
+			if k < n && h[k].before(&h[least]) {
+				least = k
+			}
+		}
+		if least == i {
+			break
+		}
+		h[i], h[least] = h[least], h[i]
+		i = least
+	}
+	c.now = e.at
+	c.events++
+	e.do()
+	return true
+}
+
+// note takes what happened into the digest, and into the log if one is wanted.
+func (c *clock) note(what string) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(c.now))
+	c.sum.Write(b[:])
+	c.sum.Write([]byte(what))
+	if c.log != nil {
+		c.log(c.now, what)
+	}
+}
--- /dev/null
+++ b/internal/virtual/generate.go
@@ -0,0 +1,256 @@
+package virtual
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sandyard/internal/strict"
+	"sandyard/trouble"
+)
+
+// Profile says what a generator draws from.
+type Profile struct {
+	MostDoors, MostBoxes int
+	Seconds              float64 // most, of traffic
+	Rate                 float64 // most requests a second
+	Troubles             int     // most
+	Config               string  // file of the configuration, for the script's record
+}
+
+// Usual is the profile of a search.
+func Usual() Profile {
+	return Profile{MostDoors: 40, MostBoxes: 12, Seconds: 16, Rate: 60, Troubles: 8}
+}
+
+// kind is a trouble that a generator can draw.
+type kind struct {
+	verb   trouble.Verb
+	target string // box, boxes, keeper, door, link, studio, plan, all
+	value  func(*rand.Rand) float64
+	most   time.Duration // of its duration
+}
+
+func between(a, b float64) func(*rand.Rand) float64 {
+	return func(r *rand.Rand) float64 { return math.Round((a+(b-a)*r.Float64())*100) / 100 }
+}
+
+var kinds = []kind{
+	{trouble.Slow, "boxes", between(1.2, 4), 4 * time.Second},
+	{trouble.Slow, "box", between(2, 12), 6 * time.Second},
+	{trouble.Hang, "box", nil, 5 * time.Second},
+	{trouble.Reset, "box", func(r *rand.Rand) float64 { return float64(r.IntN(300)) }, 4 * time.Second},
+	{trouble.Lose, "box", nil, 3 * time.Second},
+	{trouble.Trail, "box", nil, 3 * time.Second},
+	{trouble.Fault, "box", between(0.2, 1), 4 * time.Second},
+	{trouble.Refuse, "box", nil, 4 * time.Second},
+	{trouble.Lie, "box", between(0, 8), 5 * time.Second},
+	{trouble.Stall, "box", nil, 3 * time.Second},
+	{trouble.Delay, "box", between(20, 900), 4 * time.Second},
+	{trouble.Silent, "keeper", nil, 5 * time.Second},
+	{trouble.Refuse, "keeper", nil, 5 * time.Second},
+	{trouble.Stall, "keeper", nil, 3 * time.Second},
+	{trouble.Delay, "keeper", between(10, 300), 5 * time.Second},
+	{trouble.Empty, "keeper", nil, 0},
+	{trouble.Garble, "keeper", nil, 2 * time.Second},
+	{trouble.Kill, "keeper", nil, 3 * time.Second},
+	{trouble.Kill, "box", nil, 3 * time.Second},
+	{trouble.Kill, "door", nil, 3 * time.Second},
+	{trouble.Pause, "door", nil, 900 * time.Millisecond},
+	{trouble.Pause, "box", nil, 3 * time.Second},
+	{trouble.Drain, "box", nil, 3 * time.Second},
+	{trouble.Replace, "box", nil, 3 * time.Second},
+	{trouble.Leave, "box", nil, time.Second},
+	{trouble.Torn, "list", nil, 2 * time.Second},
+	{trouble.Surge, "all", between(1.2, 3), 4 * time.Second},
+	{trouble.Surge, "studio", between(3, 15), 6 * time.Second},
+	{trouble.Surge, "plan", between(2, 6), 5 * time.Second},
+	{trouble.Move, "all", nil, 0},
+	{trouble.Quit, "all", between(0.05, 0.5), 5 * time.Second},
+	{trouble.Drip, "all", between(0.02, 0.2), 5 * time.Second},
+	{trouble.Noise, "all", between(0.02, 0.3), 5 * time.Second},
+	{trouble.Partition, "door/box", nil, 4 * time.Second},
+	{trouble.Partition, "door/keeper", nil, 4 * time.Second},
+	{trouble.Oneway, "door/box", nil, 4 * time.Second},
+	{trouble.Oneway, "box/door", nil, 4 * time.Second},
+	{trouble.Lag, "door/box", between(1, 120), 5 * time.Second},
+	{trouble.Throttle, "door/box", between(2000, 50000), 4 * time.Second},
+	{trouble.Deaf, "box", nil, 3 * time.Second},
+	{trouble.Descriptors, "door", func(r *rand.Rand) float64 { return float64(2 + r.IntN(20)) }, 3 * time.Second},
+}
+
+// Generate draws a script from a seed. Each seed enables a part of the kinds only (swarm testing: Groce et al., ISSTA
+// 2012), since kinds that are always about hide what others would show.
+func Generate(seed uint64, p Profile) *Script {
+	rng := stream(seed, "generate")
+	s := defaults()
+	s.Seed, s.Number, s.Config = seed, int(seed), p.Config
+	pick := func(xs ...float64) float64 { return xs[rng.IntN(len(xs))] }
+	s.Seconds = math.Round(p.Seconds * (0.5 + rng.Float64()/2))
+	s.Doors = 1 + rng.IntN(4)
+	if rng.IntN(10) == 0 {
+		s.Doors = 1 + rng.IntN(p.MostDoors)
+	}
+	s.Boxes.Count = 2 + rng.IntN(max(1, p.MostBoxes-1))
+	s.Boxes.Work = strict.Duration(time.Duration(pick(5, 15, 30, 60)) * time.Millisecond)
+	s.Boxes.Queue = int(pick(8, 24, 64))
+	s.Boxes.Body = int(pick(2, 64, 64, 3000, 40000))
+	s.Rate = math.Round(p.Rate * (0.3 + 0.7*rng.Float64()))
+	s.Net.Latency = strict.Duration(time.Duration(pick(100, 300, 1000, 5000)) * time.Microsecond)
+	s.Net.Jitter = pick(0, 0.3, 1, 3)
+	s.Net.Split = pick(0, 0, 0.1, 0.6, 0.9)
+	s.Drift = pick(0, 0, 0.001, 0.02)
+	s.Clients = Clients{Retries: rng.IntN(4), Pipeline: pick(0, 0.03, 0.2), Fresh: pick(0.02, 0.2, 0.8), Body: int(pick(0, 40, 40, 2000))}
+	var on []kind
+	for len(on) == 0 {
+		share := rng.Float64()
+		for _, k := range kinds {
+			if rng.Float64() < share {
+				on = append(on, k)
+			}
+		}
+	}
+	n := rng.IntN(p.Troubles + 1)
+	calm := s.Seconds * 0.6 // of the run has troubles; what follows shows whether service comes back
+	for range n {
+		k := on[rng.IntN(len(on))]
+		e := trouble.Event{At: time.Duration(rng.Float64()*calm*1000) * time.Millisecond, Verb: k.verb}
+		if k.most > 0 {
+			e.For = time.Duration(rng.Float64()*float64(k.most)/1e6) * time.Millisecond
+			e.For = max(e.For, 50*time.Millisecond)
+		}
+		if k.value != nil {
+			e.Value = k.value(rng)
+		}
+		e.Target = s.draw(rng, k.target)
+		s.Events = append(s.Events, e)
+	}
+	slices.SortStableFunc(s.Events, func(a, b trouble.Event) int { return int(a.At - b.At) })
+	return &s
+}
+
+func (s *Script) draw(rng *rand.Rand, what string) string {
+	box := func() string { return fmt.Sprintf("box-%d", rng.IntN(s.Boxes.Count)) }
+	door := func() string { return fmt.Sprintf("door-%d", rng.IntN(s.Doors)) }
+	switch what {
+	case "box":
+		return box()
+	case "door":
+		return door()
+	case "door/box":
+		return door() + "/" + box()
+	case "box/door":
+		return box() + "/" + door()
+	case "door/keeper":
+		return door() + "/keeper"
+	case "studio":
+		return []string{"school-8", "school-9", "studio-5", "hobby-0"}[rng.IntN(4)]
+	case "plan":
+		return []string{"school", "studio", "hobby"}[rng.IntN(3)]
+	case "boxes":
+		return "boxes"
+	case "keeper", "list":
+		return what
+	}
+	return "*"
+}
+
+// Shrink makes a script smaller while it still breaks the same rule: fewer troubles, shorter ones, fewer processes,
+// less traffic, a plainer network. tried is told of each attempt.
+func Shrink(s *Script, opt Options, rule string, budget int, tried func(kept bool, s *Script)) *Script {
+	best := *s
+	breaks := func(c *Script) bool {
+		if budget <= 0 {
+			return false
+		}
+		budget--
+		o, err := Run(c, opt)
+		kept := err == nil && len(o.Findings) > 0 && o.Findings[0].Rule == rule
+		if kept {
+			best = *c
+		}
+		if tried != nil {
+			tried(kept, c)
+		}
+		return kept
+	}
+	try := func(change func(c *Script)) bool {
+		c := best
+		c.Events = slices.Clone(best.Events)
+		change(&c)
+		if c.Text() == best.Text() {
+			return false
+		}
+		return breaks(&c)
+	}
+	for again := true; again && budget > 0; {
+		again = false
+		for size := len(best.Events); size > 0; size /= 2 { // troubles, in halves first
+			for at := 0; at < len(best.Events); {
+				end := min(at+size, len(best.Events))
+				if try(func(c *Script) { c.Events = append(c.Events[:at:at], c.Events[end:]...) }) {
+					again = true
+				} else {
+					at = end
+				}
+			}
+		}
+		for _, change := range []func(c *Script){
+			func(c *Script) { c.Seconds = math.Ceil(c.Seconds / 2) },
+			func(c *Script) { c.Seconds = math.Max(1, c.Seconds-1) },
+			func(c *Script) { c.Rate = math.Ceil(c.Rate / 2) },
+			func(c *Script) { c.Doors = 1 },
+			func(c *Script) { c.Doors = max(1, c.Doors/2) },
+			func(c *Script) { c.Doors = max(1, c.Doors-1) },
+			func(c *Script) { c.Boxes.Count = 1 },
+			func(c *Script) { c.Boxes.Count = max(1, c.Boxes.Count/2) },
+			func(c *Script) { c.Boxes.Count = max(1, c.Boxes.Count-1) },
+			func(c *Script) { c.Boxes.Body = 64 },
+			func(c *Script) { c.Boxes.Queue = 24 },
+			func(c *Script) { c.Boxes.Work = strict.Duration(30 * time.Millisecond) },
+			func(c *Script) { c.Net.Split = 0 },
+			func(c *Script) { c.Net.Jitter = 0 },
+			func(c *Script) { c.Net.Latency = strict.Duration(500 * time.Microsecond) },
+			func(c *Script) { c.Drift = 0 },
+			func(c *Script) { c.Clients.Retries = 0 },
+			func(c *Script) { c.Clients.Pipeline = 0 },
+			func(c *Script) { c.Clients.Fresh = 0 },
+			func(c *Script) { c.Clients.Body = 0 },
+		} {
+			again = try(change) || again
+		}
+		for i := range best.Events {
+			again = try(func(c *Script) { c.Events[i].For = (c.Events[i].For / 2).Truncate(time.Millisecond) }) || again
+			again = try(func(c *Script) { c.Events[i].At = c.Events[i].At.Truncate(time.Second) }) || again
+			again = try(func(c *Script) { c.Events[i].Value = math.Round(c.Events[i].Value) }) || again
+		}
+	}
+	return &best
+}
+
+// Verbs are the troubles that a generator draws.
+func Verbs() (names []string) {
+	for _, k := range kinds {
+		if !slices.Contains(names, string(k.verb)) {
+			names = append(names, string(k.verb))
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Reachable are the things that a search should reach: troubles, wishes of the core, ends of tries and error paths.
+func Reachable() []string {
+	names := []string{"answer broken", "answer cut off", "answer flows", "client drips", "client left", "client makes noise", "client quits",
+		"client reset", "client too slow", "dial refused", "line reset", "list broken", "stream silent", "status 200", "status 400", "status 408",
+		"status 413", "status 429", "status 502", "status 503", "status 504", "try served", "try refused", "try failed", "try cut", "try no door", "try left"}
+	for k := range 10 {
+		names = append(names, fmt.Sprintf("wish %d", k))
+	}
+	for _, v := range Verbs() {
+		names = append(names, "trouble "+v)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/virtual/peers.go
@@ -0,0 +1,301 @@
+package virtual
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"sandyard/audit"
+	"sandyard/standin"
+	"sandyard/trouble"
+)
+
+// vbox is a stand-in box in virtual time.
+type vbox struct {
+	s     *Sim
+	host  *host
+	name  string
+	addr  string
+	state string // in the list
+	since time.Duration
+	cold  bool
+	box   *standin.Box
+	conns []*vboxConn
+	next  time.Duration
+	life  int
+}
+
+type vboxConn struct {
+	b    *vbox
+	e    *end
+	c    *standin.BoxConn
+	out  []byte
+	done bool
+	door int
+}
+
+// start begins a process; one that is started while the day runs is cold.
+func (b *vbox) start(cold bool) {
+	s := b.s
+	b.life++
+	b.cold, b.since, b.next = cold, s.now, 0
+	p := s.script.Boxes
+	c := standin.BoxConfig{Name: b.name, Cores: p.Cores, Queue: p.Queue, Work: time.Duration(p.Work), Spread: 0.8, Body: p.Body,
+		KeyTTL: 2 * s.keyTTL, Seed: s.script.Seed*1000 + uint64(len(b.name)) + uint64(b.life)}
+	set := s.cfg.Settings
+	if cold {
+		c.ColdShare, c.ColdTime = set.ColdShare, set.ColdTime
+		c.OverloadFactor, c.OverloadTime = set.OverloadFactor, set.OverloadTime
+		s.check.Started(b.name, s.now)
+	}
+	b.box = standin.NewBox(c, s.now)
+	b.box.Facts = b.fact
+	b.conns = nil
+	b.host.alive, b.host.paused = true, false
+	b.host.accept = func(e *end) {
+		c := &vboxConn{b: b, e: e, c: b.box.NewConn(), door: s.doorOf(e.peer.host)}
+		e.owner = c
+		b.conns = append(b.conns, c)
+	}
+}
+
+func (b *vbox) fact(f standin.Fact) {
+	s := b.s
+	s.note(string(f.Kind) + " " + f.ID + " " + f.Box)
+	switch f.Kind {
+	case standin.Received:
+		s.check.Received(audit.Receipt{ID: f.ID, Box: f.Box, At: s.now, Door: s.receiving})
+	case standin.Ran:
+		s.check.Ran(audit.Run{ID: f.ID, Key: f.Key, Box: f.Box, At: s.now})
+	case standin.Fell:
+		s.check.Fell(f.Box, s.now)
+		b.refuse(true)
+	}
+}
+
+func (b *vbox) refuse(on bool) {
+	if on {
+		b.host.accept = nil
+		for len(b.conns) > 0 {
+			b.conns[0].end(true)
+		}
+		return
+	}
+	b.host.accept = func(e *end) {
+		c := &vboxConn{b: b, e: e, c: b.box.NewConn(), door: b.s.doorOf(e.peer.host)}
+		e.owner = c
+		b.conns = append(b.conns, c)
+	}
+}
+
+// after plans the box's next end of work.
+func (b *vbox) after() {
+	t := b.box.Next()
+	if t == 0 || b.next != 0 && b.next <= t && b.next > b.s.now {
+		return
+	}
+	b.next = t
+	life := b.life
+	b.s.at(t, func() {
+		if b.life != life || !b.host.alive {
+			return
+		}
+		b.host.run(func() {
+			if b.life != life {
+				return
+			}
+			b.next = 0
+			b.advance()
+		})
+	})
+}
+
+func (b *vbox) advance() {
+	now := b.s.now
+	var done []*standin.Job
+	b.box.Advance(now, func(j *standin.Job) { done = append(done, j) })
+	for _, j := range done {
+		for _, c := range b.conns {
+			if c.c == j.Conn() {
+				b.s.receiving = c.door
+				c.c.Done(now, j)
+				c.flush()
+				break
+			}
+		}
+	}
+	b.after()
+}
+
+func (c *vboxConn) readable(*end) {
+	if c.done {
+		return
+	}
+	c.b.s.receiving = c.door
+	c.c.Feed(c.b.s.now, c.e.read())
+	if !c.done {
+		c.flush()
+	}
+	c.b.after()
+}
+
+func (c *vboxConn) writable(*end) { c.flush() }
+
+func (c *vboxConn) flush() {
+	if c.done {
+		return
+	}
+	c.out = append(c.out, c.c.Out...)
+	c.c.Out = c.c.Out[:0]
+	n := c.e.write(c.out)
+	c.out = c.out[n:]
+	if c.c.Close && len(c.out) == 0 {
+		abort := c.c.Abort
+		if abort { // what was written arrives, then the reset
+			c.b.s.after(2*c.b.s.net.latency, func() { c.end(true) })
+			return
+		}
+		c.end(false)
+	}
+}
+
+func (c *vboxConn) closed(*end, bool) { c.end(false) }
+
+func (c *vboxConn) end(reset bool) {
+	if c.done {
+		return
+	}
+	c.done = true
+	c.c.Closed()
+	c.e.close(reset)
+	for i, o := range c.b.conns {
+		if o == c {
+			c.b.conns = append(c.b.conns[:i], c.b.conns[i+1:]...)
+			break
+		}
+	}
+}
+
+// vkeeper is the stand-in keeper in virtual time.
+type vkeeper struct {
+	s      *Sim
+	host   *host
+	k      *standin.Keeper
+	garble bool
+	conns  []*vkeeperConn
+}
+
+type vkeeperConn struct {
+	k    *vkeeper
+	e    *end
+	c    *standin.KeeperConn
+	out  []byte
+	done bool
+}
+
+func (k *vkeeper) start() {
+	k.host.alive = true
+	k.host.accept = func(e *end) {
+		c := &vkeeperConn{k: k, e: e, c: k.k.NewConn()}
+		e.owner = c
+		k.conns = append(k.conns, c)
+	}
+}
+
+func (c *vkeeperConn) readable(*end) {
+	k := c.k
+	if c.done || k.k.Stalled() {
+		return // the bytes wait
+	}
+	c.c.Feed(k.s.now, c.e.read())
+	b := append([]byte(nil), c.c.Out...)
+	c.c.Out = c.c.Out[:0]
+	if k.garble && len(b) > 0 {
+		b = []byte("HTTP/1.1 400 Bad Request\r\n\r\n")
+	}
+	if d := k.k.Delay(); d > 0 {
+		k.s.after(d, func() { c.send(b) })
+	} else {
+		c.send(b)
+	}
+	if c.c.Close {
+		c.end(false)
+	}
+}
+
+func (c *vkeeperConn) send(b []byte) {
+	if c.done {
+		return
+	}
+	c.out = append(c.out, b...)
+	c.writable(nil)
+}
+
+func (c *vkeeperConn) writable(*end) {
+	n := c.e.write(c.out)
+	c.out = c.out[n:]
+}
+
+func (c *vkeeperConn) closed(*end, bool) { c.end(false) }
+
+func (c *vkeeperConn) end(reset bool) {
+	if c.done {
+		return
+	}
+	c.done = true
+	c.e.close(reset)
+	for i, o := range c.k.conns {
+		if o == c {
+			c.k.conns = append(c.k.conns[:i], c.k.conns[i+1:]...)
+			break
+		}
+	}
+}
+
+func (k *vkeeper) set(v trouble.Verb, value float64, on bool) {
+	switch v {
+	case trouble.Garble:
+		k.garble = on
+	case trouble.Refuse:
+		k.k.Set(v, value, on)
+		if on {
+			k.host.accept = nil
+			for len(k.conns) > 0 {
+				k.conns[0].end(true)
+			}
+		} else {
+			k.start()
+		}
+	default:
+		k.k.Set(v, value, on)
+		if v == trouble.Stall && !on {
+			for _, c := range append([]*vkeeperConn(nil), k.conns...) {
+				if len(c.e.inbox) > 0 {
+					c.readable(nil)
+				}
+			}
+		}
+	}
+}
+
+// listText is the file of boxes.
+func (s *Sim) listText() string {
+	var t strings.Builder
+	t.WriteString("boxes:\n")
+	n := 0
+	for _, b := range s.boxes {
+		if b.state == "gone" {
+			continue
+		}
+		n++
+		t.WriteString("  - {name: " + b.name + ", address: \"" + b.addr + "\", cell: " + strconv.Itoa(0) + ", state: " + b.state)
+		if b.cold {
+			t.WriteString(", started: \"" + epoch.Add(b.since).Format(time.RFC3339Nano) + "\"")
+		}
+		t.WriteString("}\n")
+	}
+	if n == 0 {
+		return "boxes: []\n"
+	}
+	return t.String()
+}
--- /dev/null
+++ b/internal/virtual/script.go
@@ -0,0 +1,211 @@
+package virtual
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"sandyard/config"
+	"sandyard/internal/strict"
+	"sandyard/trouble"
+)
+
+// Version is that of the form of scripts. Scripts of other versions are refused.
+const Version = 1
+
+// Script is a run of the simulator: it states all that a run needs.
+//
+//	version: 1
+//	seed: 42
+//	seconds: 20
+//	doors: 3
+//	rate: 40
+//	boxes: {count: 4, work: 30ms}
+//	troubles:
+//	  - {at: 5s, for: 3s, verb: replace, target: box-0}
+type Script struct {
+	Version int             `yaml:"version"`
+	Seed    uint64          `yaml:"-"`
+	Number  int             `yaml:"seed"`
+	Seconds float64         `yaml:"seconds"` // of traffic
+	Doors   int             `yaml:"doors"`
+	Rate    float64         `yaml:"rate"` // requests a second, from all clients
+	Config  string          `yaml:"config"`
+	Boxes   Boxes           `yaml:"boxes"`
+	Net     Net             `yaml:"net"`
+	Drift   float64         `yaml:"drift"` // clocks of doors run fast or slow by up to this share
+	Clients Clients         `yaml:"clients"`
+	Events  []trouble.Event `yaml:"-"`
+	Trouble []ScriptTrouble `yaml:"troubles"`
+}
+
+// Boxes are a script's boxes.
+type Boxes struct {
+	Count int             `yaml:"count"`
+	Cores int             `yaml:"cores"`
+	Queue int             `yaml:"queue"`
+	Work  strict.Duration `yaml:"work"` // mean work of a request
+	Body  int             `yaml:"body"` // bytes of an answer's
+}
+
+// Net is a script's network.
+type Net struct {
+	Latency strict.Duration `yaml:"latency"`
+	Jitter  float64         `yaml:"jitter"` // mean of what is added, as a share of the latency
+	Split   float64         `yaml:"split"`  // chance that a write is cut in two, again and again
+}
+
+// Clients is how a script's clients behave.
+type Clients struct {
+	Retries  int     `yaml:"retries"`
+	Pipeline float64 `yaml:"pipeline"` // share that send several requests at once
+	Fresh    float64 `yaml:"fresh"`    // share that use a new connection
+	Body     int     `yaml:"body"`     // most bytes of a request's body
+}
+
+// ScriptTrouble is a trouble as it is written.
+type ScriptTrouble struct {
+	At     strict.Duration `yaml:"at"`
+	For    strict.Duration `yaml:"for"`
+	Verb   string          `yaml:"verb"`
+	Target string          `yaml:"target"`
+	Value  float64         `yaml:"value"`
+}
+
+// Bounds of a script.
+const (
+	mostDoors   = 64
+	mostBoxes   = 256
+	mostSeconds = 24 * 3600
+	mostRate    = 20000
+)
+
+func defaults() Script {
+	return Script{Version: Version, Seconds: 15, Doors: 3, Rate: 40,
+		Boxes:   Boxes{Count: 4, Cores: 2, Queue: 24, Work: strict.Duration(30 * time.Millisecond), Body: 64},
+		Net:     Net{Latency: strict.Duration(500 * time.Microsecond), Jitter: 0.3, Split: 0.1},
+		Clients: Clients{Retries: 2, Pipeline: 0.03, Fresh: 0.2, Body: 40}}
+}
+
+// ReadScript reads a script; the error is a diag.Problems.
+func ReadScript(file string, text []byte) (*Script, error) {
+	s := defaults()
+	s.Version = 0
+	d := strict.Read(file, text, &s)
+	if d.Whole() && s.Version != Version {
+		d.Say("version", "%d: this program reads scripts of version %d; write the script anew from its seed, or with the program that wrote it", s.Version, Version)
+	}
+	s.Seed = uint64(s.Number)
+	check := func(field string, x, least, most float64) {
+		if !(x >= least) || x > most {
+			d.Say(field, "%g: expected %g to %g", x, least, most)
+		}
+	}
+	check("seed", float64(s.Number), 0, 1<<53)
+	check("seconds", s.Seconds, 0.1, mostSeconds)
+	check("doors", float64(s.Doors), 1, mostDoors)
+	check("rate", s.Rate, 0.01, mostRate)
+	check("boxes.count", float64(s.Boxes.Count), 0, mostBoxes)
+	check("boxes.cores", float64(s.Boxes.Cores), 1, 1024)
+	check("boxes.queue", float64(s.Boxes.Queue), 1, 1<<20)
+	check("boxes.body", float64(s.Boxes.Body), 1, 16<<20)
+	check("net.jitter", s.Net.Jitter, 0, 100)
+	check("net.split", s.Net.Split, 0, 0.95)
+	check("drift", s.Drift, 0, 0.2)
+	check("clients.retries", float64(s.Clients.Retries), 0, 10)
+	check("clients.pipeline", s.Clients.Pipeline, 0, 1)
+	check("clients.fresh", s.Clients.Fresh, 0, 1)
+	check("clients.body", float64(s.Clients.Body), 0, 1<<20)
+	if s.Net.Latency == 0 {
+		d.Say("net.latency", "expected more than 0")
+	}
+	for i, t := range s.Trouble {
+		at := fmt.Sprintf("troubles[%d]", i)
+		v, _, err := trouble.Parse(t.Verb + " " + strconv.FormatFloat(t.Value, 'g', -1, 64))
+		if err != nil {
+			d.Say(at+".verb", "%v", err)
+		}
+		if t.Target == "" {
+			d.Say(at+".target", "missing; * stands for all")
+		}
+		if time.Duration(t.At) > time.Duration(s.Seconds*float64(time.Second)) {
+			d.Say(at+".at", "after the end of the traffic")
+		}
+		s.Events = append(s.Events, trouble.Event{At: time.Duration(t.At), For: time.Duration(t.For), Verb: v, Target: t.Target, Value: t.Value})
+	}
+	if err := d.Problems.Err(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Text writes a script; ReadScript reads it back.
+func (s *Script) Text() string {
+	var b strings.Builder
+	f := func(x float64) string { return strconv.FormatFloat(x, 'g', -1, 64) }
+	fmt.Fprintf(&b, "version: %d\nseed: %d\nseconds: %s\ndoors: %d\nrate: %s\n", Version, s.Seed, f(s.Seconds), s.Doors, f(s.Rate))
+	if s.Config != "" {
+		fmt.Fprintf(&b, "config: %q\n", s.Config)
+	}
+	fmt.Fprintf(&b, "boxes: {count: %d, cores: %d, queue: %d, work: %v, body: %d}\n", s.Boxes.Count, s.Boxes.Cores, s.Boxes.Queue,
+		time.Duration(s.Boxes.Work), s.Boxes.Body)
+	fmt.Fprintf(&b, "net: {latency: %v, jitter: %s, split: %s}\n", time.Duration(s.Net.Latency), f(s.Net.Jitter), f(s.Net.Split))
+	if s.Drift != 0 {
+		fmt.Fprintf(&b, "drift: %s\n", f(s.Drift))
+	}
+	fmt.Fprintf(&b, "clients: {retries: %d, pipeline: %s, fresh: %s, body: %d}\n", s.Clients.Retries, f(s.Clients.Pipeline), f(s.Clients.Fresh), s.Clients.Body)
+	if len(s.Events) == 0 {
+		b.WriteString("troubles: []\n")
+		return b.String()
+	}
+	b.WriteString("troubles:\n")
+	for _, e := range s.Events {
+		fmt.Fprintf(&b, "  - {at: %v", e.At)
+		if e.For > 0 {
+			fmt.Fprintf(&b, ", for: %v", e.For)
+		}
+		fmt.Fprintf(&b, ", verb: %s, target: %q", e.Verb, e.Target)
+		if e.Value != 0 {
+			fmt.Fprintf(&b, ", value: %s", f(e.Value))
+		}
+		b.WriteString("}\n")
+	}
+	return b.String()
+}
+
+// Deployment is the configuration that scripts run on which name none: two front doors a studio, three plans with a
+// ceiling in the highest, three ways of repeating.
+func Deployment() (*config.Config, error) {
+	var s strings.Builder
+	s.WriteString(`openapi: openapi.yaml
+door: {number: 0, of: 64}
+classes:
+  - {name: slot-booking, repeat: safe, aim: 600ms, deadline: 2.5s, worth: 1, late-share: 0.2}
+  - {name: firing, repeat: keyed, key-ttl: 6s, aim: 1s, deadline: 3s, worth: 2, late-share: 0.2}
+  - {name: payment, repeat: unsafe, aim: 1s, deadline: 3s, worth: 4}
+  - {name: feed, repeat: safe, aim: 1s, deadline: 3s, worth: 0.5, stream: true}
+plans:
+  - {name: hobby, rate: 4/s, burst: 8, price: 0.8, over-cost: 1.2}
+  - {name: studio, rate: 8/s, burst: 12, price: 1.2, over-cost: 0.5}
+  - {name: school, rate: 24/s, burst: 36, price: 1.8, over-cost: 1.2, ceiling: {rate: 40/s, burst: 60, slack: 6}}
+studios:
+`)
+	for i, plan := range []string{"hobby", "hobby", "hobby", "hobby", "hobby", "studio", "studio", "studio", "school", "school"} {
+		fmt.Fprintf(&s, "  - {name: %s-%d, plan: %s, keys: [key-%d], doors: {first: %d, spread: 2}}\n", plan, i, plan, i, i)
+	}
+	s.WriteString(`boxes: {file: boxes.yaml, drain-grace: 1s, cold: {share: 0.25, time: 8s}, overload: {factor: 4, time: 2s}}
+load: {via: answers, fields: [{name: named_metrics.in_flight, is: in-flight}, {name: cpu_utilization, is: utilization}]}
+attempts: {most: 3}
+keeper: {address: "10.0.0.1:6379", timeout: 80ms, price: 0.02}
+limits: {hold-answer: 4KiB, write-timeout: 5s, idle-timeout: 20s, head-timeout: 5s, body-timeout: 5s, box-idle-timeout: 5s, stream-silence: 5s, lines-per-box: 64}
+`)
+	return config.Parse("gateway.yaml", []byte(s.String()), []byte(`openapi: 3.0.3
+info: {title: simulated, version: "1"}
+paths:
+  /bookings: {post: {x-sandyard-class: slot-booking, responses: {}}, get: {x-sandyard-class: slot-booking, responses: {}}}
+  /firings: {post: {x-sandyard-class: firing, responses: {}}}
+  /payments: {post: {x-sandyard-class: payment, responses: {}}}
+  /feed: {get: {x-sandyard-class: feed, responses: {}}}
+`), []byte("boxes: []\n"))
+}
--- /dev/null
+++ b/internal/virtual/sim.go
@@ -0,0 +1,478 @@
+package virtual
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"sandyard/audit"
+	"sandyard/choice"
+	"sandyard/config"
+	"sandyard/standin"
+	"sandyard/trouble"
+)
+
+// The figures of a run's end.
+const (
+	recovery   = 8 * time.Second  // after the last trouble, service must be back
+	leastBack  = 0.75             // share of the tries that are served then
+	fewestBack = 12               // tries that tell
+	afterwards = 45 * time.Second // until all that idles is closed
+)
+
+// The rules that a run is held to beside the five.
+const (
+	RuleLeak  = "nothing is left over"
+	RuleBack  = "service is back"
+	RuleWhose = "answers are one's own"
+)
+
+// Finding is a broken rule.
+type Finding struct {
+	At   time.Duration
+	Rule string
+	What string
+}
+
+// Outcome is what a run came to.
+type Outcome struct {
+	Findings []Finding // at most mostFindings
+	Digest   uint64
+	Events   uint64
+	Virtual  time.Duration
+	Verdict  audit.Verdict
+	Reached  map[string]int
+	Tries    int
+}
+
+const mostFindings = 20
+
+// Options say how to run a script.
+type Options struct {
+	Log       func(at time.Duration, what string) // every event, in order; nil for none
+	Until     time.Duration                       // 0: to the end
+	GoOn      bool                                // after the first broken rule
+	Config    *config.Config                      // nil: Deployment
+	Forgetful bool                                // a planted mistake: a restarted door takes its split of a ceiling for unspent
+}
+
+// Sim is a run under way.
+type Sim struct {
+	*clock
+	opt       Options
+	script    *Script
+	cfg       *config.Config
+	net       *network
+	doors     []*vdoor
+	boxes     []*vbox
+	keeper    *vkeeper
+	world     *host // where clients are
+	check     *audit.Checker
+	findings  []Finding
+	reached   map[string]int
+	list      string
+	keyTTL    time.Duration
+	receiving int // the door whose connection a box reads
+	replaced  int
+	traffic   *rand.Rand
+	surge     map[string]float64
+	quit      float64
+	drip      float64
+	noise     float64
+	askers    []*asker // by door: idle and busy connections
+	moved     map[string]int
+	tries     []*audit.Try
+	ends      map[string]audit.End
+	ops       int
+	lastCalm  time.Duration // when the last trouble has ended
+	stop      bool
+	served    int // in the tail
+	asked     int
+}
+
+// Run plays a script.
+func Run(script *Script, opt Options) (Outcome, error) {
+	cfg := opt.Config
+	if cfg == nil {
+		var err error
+		if cfg, err = deployment(); err != nil {
+			return Outcome{}, err
+		}
+	}
+	s := &Sim{clock: newClock(script.Seed), opt: opt, script: script, reached: map[string]int{}, surge: map[string]float64{},
+		moved: map[string]int{}, ends: map[string]audit.End{}, traffic: stream(script.Seed, "traffic")}
+	s.log = opt.Log
+	s.cfg = cfg.ForDoor(0, script.Doors)
+	s.net = &network{clock: s.clock, rng: stream(script.Seed, "net"), latency: time.Duration(script.Net.Latency), jitter: script.Net.Jitter,
+		split: script.Net.Split, hosts: map[string]*host{}, byAddr: map[string]*host{}, links: map[[2]*host]*link{}}
+	s.world = s.addHost("clients", "")
+	s.world.alive = true
+	set := s.cfg.Settings
+	s.keyTTL = 10 * time.Second
+	for _, k := range set.Classes {
+		if k.Repeat == choice.Keyed {
+			s.keyTTL = min(s.keyTTL, k.KeyTTL)
+		}
+	}
+	ceilings := map[string]audit.Ceiling{}
+	for _, p := range cfg.Plans {
+		if p.Ceiling.Rate > 0 {
+			// A door that starts takes its split of the slack for granted, so that a restart costs that much more.
+			ceilings[p.Name] = audit.Ceiling{Rate: float64(p.Ceiling.Rate), Burst: p.Ceiling.Burst, Slack: p.Ceiling.Slack}
+		}
+	}
+	s.check = audit.NewChecker(audit.Limits{DrainGrace: set.DrainGrace, Slack: 4 * s.net.latency, KeyTTL: s.keyTTL, ColdShare: set.ColdShare,
+		ColdTime: set.ColdTime, OverloadFactor: set.OverloadFactor, OverloadTime: set.OverloadTime, Cores: float64(script.Boxes.Cores), Ceilings: ceilings})
+	s.check.Broken = func(rule int, what string) { s.find(s.check.Rules()[rule].Name, what) }
+	s.begin()
+	end := time.Duration(script.Seconds * float64(time.Second))
+	limit := end + afterwards
+	if opt.Until > 0 {
+		limit = min(limit, opt.Until)
+	}
+	for !s.stop && s.step(limit) {
+	}
+	if !s.stop && opt.Until == 0 {
+		s.now = limit
+		s.close()
+	}
+	o := Outcome{Findings: s.findings, Events: s.events, Virtual: s.now, Reached: s.reached, Tries: len(s.tries)}
+	for _, d := range s.doors { // what the machines know is part of what happened
+		if d.core != nil {
+			s.note(fmt.Sprintf("%+v", d.core.Stats))
+		}
+	}
+	o.Digest = s.sum.Sum64()
+	o.Verdict = audit.Judge(s.check, audit.Tally(s.tries, s.ends))
+	return o, nil
+}
+
+func (s *Sim) reach(what string) { s.reached[what]++ }
+
+func (s *Sim) find(rule, what string) {
+	s.note("BROKEN " + rule + ": " + what)
+	if len(s.findings) < mostFindings {
+		s.findings = append(s.findings, Finding{s.now, rule, what})
+	}
+	s.stop = s.stop || !s.opt.GoOn
+}
+
+func (s *Sim) addHost(name, addr string) *host {
+	h := &host{name: name, room: -1}
+	s.net.hosts[name] = h
+	if addr != "" {
+		s.net.byAddr[addr] = h
+	}
+	return h
+}
+
+func (s *Sim) doorOf(h *host) int {
+	for _, d := range s.doors {
+		if d.host == h {
+			return d.number
+		}
+	}
+	return -2
+}
+
+func (s *Sim) begin() {
+	sc := s.script
+	if addr := s.cfg.Keeper.Address; addr != "" {
+		s.keeper = &vkeeper{s: s, host: s.addHost("keeper", addr), k: standin.NewKeeper()}
+		s.keeper.start()
+	}
+	for i := range sc.Boxes.Count {
+		s.addBox(fmt.Sprintf("box-%d", i)).start(false)
+	}
+	s.list = s.listText()
+	drift := stream(sc.Seed, "drift")
+	for i := range sc.Doors {
+		d := &vdoor{s: s, number: i, cfg: s.cfg.ForDoor(i, sc.Doors), drift: 1 + sc.Drift*(2*drift.Float64()-1)}
+		d.host = s.addHost(fmt.Sprintf("door-%d", i), fmt.Sprintf("door-%d", i))
+		s.doors = append(s.doors, d)
+		s.askers = append(s.askers, &asker{s: s, door: i})
+		d.start(s.doorSeed(d))
+	}
+	for _, e := range sc.Events {
+		s.lastCalm = max(s.lastCalm, e.At+e.For)
+		if e.Verb == trouble.Replace || e.Verb == trouble.Drain {
+			s.lastCalm = max(s.lastCalm, e.At+e.For+s.cfg.Settings.ColdTime)
+		}
+		s.at(e.At, func() { s.trouble(e) })
+	}
+	s.at(0, s.next)
+}
+
+func (s *Sim) doorSeed(d *vdoor) uint64 {
+	return s.script.Seed*1_000_003 + uint64(d.number)*97 + uint64(d.life)
+}
+
+func (s *Sim) addBox(name string) *vbox {
+	addr := fmt.Sprintf("10.1.%d.%d:80", len(s.boxes)/200, len(s.boxes)%200)
+	b := &vbox{s: s, name: name, addr: addr, state: "up", host: s.addHost(name, addr)}
+	s.boxes = append(s.boxes, b)
+	return b
+}
+
+// writeList replaces the file of boxes; each door hears of it a moment later.
+func (s *Sim) writeList() {
+	s.list = s.listText()
+	s.tellDoors()
+}
+
+func (s *Sim) tellDoors() {
+	rng := s.net.rng
+	for _, d := range s.doors {
+		s.after(time.Duration(rng.Int64N(int64(20*time.Millisecond))), d.guard(d.readList))
+	}
+}
+
+// toldList notes what a door was told.
+func (s *Sim) toldList(d *vdoor, boxes []config.Box) {
+	for _, b := range s.boxes {
+		i := slices.IndexFunc(boxes, func(c config.Box) bool { return c.Name == b.name })
+		if i < 0 || choice.ServerState(boxes[i].State) != choice.Up {
+			s.check.Unlisted(d.number, b.name, s.now)
+		} else {
+			s.check.Listed(d.number, b.name, s.now)
+		}
+	}
+}
+
+// trouble begins a trouble of the script, and plans its end.
+func (s *Sim) trouble(e trouble.Event) {
+	s.note(fmt.Sprintf("trouble %s %s %g", e.Verb, e.Target, e.Value))
+	s.reach("trouble " + string(e.Verb))
+	end := func(do func()) {
+		if e.For > 0 {
+			s.after(e.For, func() {
+				s.note(fmt.Sprintf("over %s %s", e.Verb, e.Target))
+				do()
+			})
+		}
+	}
+	switch e.Verb {
+	case trouble.Surge:
+		s.surge[e.Target] = e.Value
+		end(func() { delete(s.surge, e.Target) })
+	case trouble.Quit:
+		s.quit = e.Value
+		end(func() { s.quit = 0 })
+	case trouble.Drip:
+		s.drip = e.Value
+		end(func() { s.drip = 0 })
+	case trouble.Noise:
+		s.noise = e.Value
+		end(func() { s.noise = 0 })
+	case trouble.Move:
+		for _, st := range s.cfg.Studios {
+			if e.Target == "*" || e.Target == st.Name || e.Target == st.Plan {
+				s.moved[st.Name]++
+			}
+		}
+	case trouble.Kill:
+		s.kill(e, end)
+	case trouble.Drain, trouble.Replace, trouble.Leave:
+		s.drain(e)
+	case trouble.Torn:
+		s.list = s.list[:len(s.list)/2]
+		s.tellDoors()
+		end(s.writeList)
+		if e.For == 0 {
+			s.after(time.Second, s.writeList)
+		}
+	case trouble.Partition, trouble.Oneway, trouble.Lag, trouble.Throttle:
+		s.links(e, end)
+	case trouble.Pause, trouble.Deaf, trouble.Descriptors:
+		for _, h := range s.targets(e.Target) {
+			switch e.Verb {
+			case trouble.Pause:
+				h.pause(true)
+				end(func() { h.pause(false); s.net.admit(h) })
+			case trouble.Deaf:
+				h.deaf = true
+				end(func() { h.deaf = false; s.net.admit(h) })
+			default:
+				h.room = max(0, int(e.Value)-len(h.ends))
+				end(func() { h.room = -1; s.net.admit(h) })
+			}
+		}
+	default:
+		if s.keeper != nil && e.Target == "keeper" {
+			s.keeper.set(e.Verb, e.Value, true)
+			end(func() { s.keeper.set(e.Verb, e.Value, false) })
+			return
+		}
+		for _, b := range s.boxes {
+			if e.Target == "*" || e.Target == "boxes" || e.Target == b.name {
+				b.set(e.Verb, e.Value, true)
+				end(func() { b.set(e.Verb, e.Value, false) })
+			}
+		}
+	}
+}
+
+func (b *vbox) set(v trouble.Verb, value float64, on bool) {
+	b.box.Set(b.s.now, v, value, on)
+	if v == trouble.Refuse && !b.box.Fallen() {
+		b.refuse(on)
+	}
+	if b.host.alive {
+		b.advance()
+	}
+}
+
+// targets finds processes by name; * stands for all boxes and doors.
+func (s *Sim) targets(name string) (hs []*host) {
+	for _, d := range s.doors {
+		if name == "*" || name == "doors" || name == d.host.name {
+			hs = append(hs, d.host)
+		}
+	}
+	for _, b := range s.boxes {
+		if name == "*" || name == "boxes" || name == b.name {
+			hs = append(hs, b.host)
+		}
+	}
+	if s.keeper != nil && name == "keeper" {
+		hs = append(hs, s.keeper.host)
+	}
+	if name == "clients" {
+		hs = append(hs, s.world)
+	}
+	return hs
+}
+
+func (s *Sim) links(e trouble.Event, end func(func())) {
+	a, b, two := strings.Cut(e.Target, "/")
+	from, to := s.targets(a), s.targets(b)
+	if !two {
+		to = append(s.targets("*"), s.targets("keeper")...)
+	}
+	for _, x := range from {
+		for _, y := range to {
+			if x == y {
+				continue
+			}
+			ways := []*link{s.net.link(x, y), s.net.link(y, x)}
+			if e.Verb == trouble.Oneway {
+				ways = ways[:1]
+			}
+			for _, l := range ways {
+				switch e.Verb {
+				case trouble.Lag:
+					l.lag = time.Duration(e.Value * float64(time.Millisecond))
+					end(func() { l.lag = 0 })
+				case trouble.Throttle:
+					l.rate = max(100, e.Value)
+					end(func() { l.rate = 0 })
+				default:
+					l.blocked++
+					end(func() { l.blocked-- })
+				}
+			}
+		}
+	}
+}
+
+// kill ends processes at once; they start anew after the trouble's time.
+func (s *Sim) kill(e trouble.Event, end func(func())) {
+	for _, d := range s.doors {
+		if e.Target != d.host.name && e.Target != "doors" || !d.host.alive {
+			continue
+		}
+		s.check.DoorDown(d.number, s.now)
+		d.kill()
+		end(func() {
+			s.check.DoorUp(d.number, s.now)
+			if s.opt.Forgetful { // as if a new process had its whole split of the ceiling
+				for i := range d.cfg.Settings.Plans {
+					p := &d.cfg.Settings.Plans[i]
+					p.CeilingSlack = p.CeilingBurst * float64(len(s.doors))
+				}
+			}
+			d.start(s.doorSeed(d))
+		})
+	}
+	for _, b := range s.boxes {
+		if e.Target != b.name && e.Target != "boxes" || !b.host.alive {
+			continue
+		}
+		b.life++
+		b.conns = nil
+		s.net.kill(b.host)
+		b.host.accept = nil
+		end(func() {
+			b.start(true)
+			s.writeList() // with its new time of start
+		})
+	}
+	if s.keeper != nil && e.Target == "keeper" && s.keeper.host.alive {
+		s.net.kill(s.keeper.host)
+		s.keeper.conns = nil
+		s.keeper.host.accept = nil
+		s.keeper.k = standin.NewKeeper()
+		end(s.keeper.start)
+	}
+}
+
+// drain lists a box as draining and then as gone, with a cold replacement if asked for.
+func (s *Sim) drain(e trouble.Event) {
+	for _, b := range s.boxes {
+		if b.name != e.Target || b.state != "up" || !b.host.alive {
+			continue
+		}
+		b.state = "draining"
+		if e.Verb == trouble.Leave {
+			b.state = "gone"
+		}
+		s.writeList()
+		s.after(max(e.For, s.cfg.Settings.DrainGrace), func() {
+			b.state = "gone"
+			if e.Verb == trouble.Replace {
+				s.replaced++
+				s.addBox(fmt.Sprintf("%s-r%d", e.Target, s.replaced)).start(true)
+			}
+			s.writeList()
+			s.after(10*time.Second, func() {
+				b.life++
+				b.conns = nil
+				s.net.kill(b.host)
+				b.host.accept = nil
+			})
+		})
+		return
+	}
+}
+
+// close looks at what is left once all is quiet.
+func (s *Sim) close() {
+	s.check.Overdue(s.now)
+	for _, d := range s.doors {
+		if !d.host.alive {
+			continue
+		}
+		requests, _, lines := d.core.Sizes()
+		if !d.core.Quiet() || d.core.Owed() != 0 {
+			s.find(RuleLeak, fmt.Sprintf("door %d holds %d exchanges, %d owed", d.number, requests, d.core.Owed()))
+		}
+		if n := d.shared.Memory.Load(); n != 0 {
+			s.find(RuleLeak, fmt.Sprintf("door %d holds %d bytes of bodies", d.number, n))
+		}
+		if len(d.clients) > 0 || d.shared.Clients.Load() != 0 {
+			s.find(RuleLeak, fmt.Sprintf("door %d holds %d connections of clients, counts %d", d.number, len(d.clients), d.shared.Clients.Load()))
+		}
+		if lines != len(d.lines) || lines > 0 {
+			s.find(RuleLeak, fmt.Sprintf("door %d holds %d lines to boxes, its runtime %d", d.number, lines, len(d.lines)))
+		}
+	}
+	if s.asked >= fewestBack && float64(s.served) < leastBack*float64(s.asked) {
+		s.find(RuleBack, fmt.Sprintf("%d of %d tries were served later than %v after the last trouble", s.served, s.asked, recovery))
+	}
+}
+
+// deployment parses Deployment once; runs side by side share it.
+var deployment = sync.OnceValues(Deployment)
--- a/standin/boxconn.go
+++ b/standin/boxconn.go
@@ -132,6 +132,9 @@
 	c.Out = append(c.Out, "\r\nX-Box: "...)
 	c.Out = append(c.Out, box.cfg.Name...)
 	c.Out = append(c.Out, '\r', '\n')
+	if id, ok := c.head.Get("X-Request-Id"); ok { // so that a client can tell whose answer it got
+		c.Out = http1.AppendField(c.Out, "X-Answers", id)
+	}
 	c.Out = http1.AppendLength(c.Out, int64(size))
 	if c.head.Close {
 		c.Close = true
@@ -145,6 +148,9 @@
 			size -= n
 		}
 	}
+	if _, ok := box.faults[trouble.Trail]; ok { // what follows an answer that nobody asked for
+		c.Out = append(c.Out, "HTTP/1.1 200 OK\r\nX-Answers: nobody\r\nContent-Length: 0\r\n\r\n"...)
+	}
 	if after, ok := box.faults[trouble.Reset]; ok && status == 200 {
 		c.Out = c.Out[:at+min(len(c.Out)-at, int(after))]
 		c.Close, c.Abort = true, true
--- a/trouble/trouble.go
+++ b/trouble/trouble.go
@@ -22,6 +22,7 @@
 	Lose   Verb = "lose"   // the work is done; the connection is closed without an answer
 	Fault  Verb = "fault"  // requests are answered 500 at once, unworked; value is their share
 	Refuse Verb = "refuse" // connections are refused, those there are closed; of the keeper, too
+	Trail  Verb = "trail"  // each answer is followed by another that nobody asked for
 	Lie    Verb = "lie"    // load reports are value times the truth
 	Stall  Verb = "stall"  // everything stands still, and goes on where it was; of the keeper, too
 	// Of the tally keeper.
@@ -33,16 +34,30 @@
 	Drain   Verb = "drain"   // the list says draining; after the duration the box is gone
 	Replace Verb = "replace" // the same, and a cold replacement is listed when it goes
 	Leave   Verb = "leave"   // the list loses the target without notice
+	// Of the network, in virtual time only. The target is a process (all its links), or two: "door-1/box-2".
+	Partition Verb = "partition" // nothing passes, either way
+	Oneway    Verb = "oneway"    // nothing passes from the first to the second
+	Lag       Verb = "lag"       // value milliseconds more, each way
+	Throttle  Verb = "throttle"  // value bytes a second, each way
+	Deaf      Verb = "deaf"      // connections are not accepted: they wait
+	// Of processes, in virtual time only.
+	Pause       Verb = "pause"       // the process stands still; the network goes on
+	Descriptors Verb = "descriptors" // a door has value descriptors for connections
+	Torn        Verb = "torn"        // the list is replaced half-written, and repaired after the duration
+	Garble      Verb = "garble"      // the keeper answers something else than its protocol
 	// Of traffic.
 	Surge Verb = "surge" // value times the usual traffic, of a plan or studio, or all
 	Move  Verb = "move"  // studios' traffic goes to other front doors of theirs
+	Quit  Verb = "quit"  // a share of the clients, value, leave before their answer
+	Drip  Verb = "drip"  // a share of the clients, value, send and read slowly
+	Noise Verb = "noise" // a share of the clients, value, send what is no request
 )
 
-var verbs = []Verb{Slow, Hang, Reset, Lose, Fault, Refuse, Lie, Stall, Silent, Delay, Empty, Kill, Drain, Replace, Leave,
-	Surge, Move}
+var verbs = []Verb{Slow, Hang, Reset, Lose, Fault, Refuse, Trail, Lie, Stall, Silent, Delay, Empty, Kill, Drain, Replace, Leave,
+	Surge, Move, Quit, Drip, Noise, Partition, Oneway, Lag, Throttle, Deaf, Pause, Descriptors, Torn, Garble}
 
-// Valued lists the verbs that need a value.
-var valued = []Verb{Slow, Lie, Delay, Surge}
+// valued lists the verbs that need a value.
+var valued = []Verb{Slow, Lie, Delay, Surge, Quit, Drip, Noise, Lag, Throttle, Descriptors}
 
 // Event is one trouble of a script: a verb, whom it meets, when and for how long.
 type Event struct {
