--- a/audit/checker.go
+++ b/audit/checker.go
@@ -272,6 +272,9 @@
 	}
 }
 
+// DoorStopped notes that a door's process stood still until then: what reached it meanwhile it could not know of.
+func (c *Checker) DoorStopped(door int, at time.Duration) { c.down[door] = at }
+
 // Overdue notes that a try's client would have given up by now without an end; for the close of a run.
 func (c *Checker) Overdue(now time.Duration) {
 	for _, t := range c.tries {
--- a/door/client.go
+++ b/door/client.go
@@ -52,6 +52,7 @@
 	came    time.Duration // when the bytes that are read did
 	linger  bool
 	last    bool // the answer under way is the connection's last
+	aborts  bool
 }
 
 // NewClient begins a connection. owner is handed on with exchanges; remote is the client's address without a port.
@@ -66,6 +67,9 @@
 // connection and could take the answer with it.
 func (c *Client) Closing() (closes, linger bool) { return c.phase == closing, c.linger }
 
+// Aborts tells that a connection that closes must be reset, once Out is written, rather than ended.
+func (c *Client) Aborts() bool { return c.aborts }
+
 // Waiting tells that an answer is awaited.
 func (c *Client) Waiting() bool { return c.phase == waiting }
 
@@ -180,6 +184,7 @@
 	c.Out = append(c.Out, b...)
 	switch {
 	case broken:
+		c.aborts = c.last // the end of the connection would look like the end of the answer
 		c.close()
 	case end:
 		c.finish(now)
--- a/door/client_test.go
+++ b/door/client_test.go
@@ -213,6 +213,27 @@
 	}
 }
 
+// TestBrokenAnswerWithoutLength: where only the end of the connection ends an answer, one that breaks off must not end
+// like a whole one; elsewhere the client can tell, and gets what there is.
+func TestBrokenAnswerWithoutLength(t *testing.T) {
+	for version, aborts := range map[string]bool{"1.0": true, "1.1": false} {
+		r := newRig(t, 1, 1, "")
+		c := r.client()
+		ex := c.Feed(r.now, []byte("GET /feed HTTP/"+version+"\r\nHost: h\r\nX-Api-Key: ka\r\nConnection: keep-alive\r\n\r\n"))
+		r.core.Arrive(r.now, ex)
+		l, _ := r.up()
+		r.reply(l, ex, "HTTP/1.1 200 OK\r\n\r\nabc")
+		g := r.want(Grant)
+		c.Answered(r.now, ex, g.Bytes, true, g.Closes)
+		r.core.LineDown(r.now, l, false)
+		r.want(Cut)
+		c.Relay(r.now, ex, nil, false, true)
+		if closes, _ := c.Closing(); !closes || c.Aborts() != aborts || !strings.Contains(string(c.Out), "abc") {
+			t.Errorf("%s: closes %v, aborts %v: %q", version, closes, c.Aborts(), c.Out)
+		}
+	}
+}
+
 func TestLoadReports(t *testing.T) {
 	names := []string{"a", "b"}
 	if l := parseLoad("TEXT a=1.5,b=2, c=3", names); l[0] != 1.5 || l[1] != 2 {
--- a/internal/sockets/client.go
+++ b/internal/sockets/client.go
@@ -83,6 +83,11 @@
 func (cc *clientConn) drain() {
 	cc.mu.Lock()
 	linger := cc.linger
+	if cc.m.Aborts() {
+		cc.link.conn.SetLinger(0)
+		cc.mu.Unlock()
+		return
+	}
 	cc.mu.Unlock()
 	cc.link.conn.CloseWrite()
 	if !linger || cc.link.broken() {
--- a/internal/virtual/asker.go
+++ b/internal/virtual/asker.go
@@ -27,8 +27,10 @@
 	out     []byte
 	waiting []*try
 	head    *http1.Head
+	begun   bool // the answer to the first that waits has
 	gone    bool
 	slow    bool
+	taken   time.Duration // when it was accepted
 	used    time.Duration
 }
 
@@ -43,6 +45,7 @@
 	body   string
 	work   time.Duration
 	over   bool
+	status int
 	tail   bool
 }
 
@@ -152,7 +155,7 @@
 	t.Units = units
 	h := s.cfg.Headers
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: door\r\n%s: %s\r\nX-Request-Id: %s\r\nX-Work: %.3f\r\n%s: %d\r\n%s: %d\r\n", op.Method, path, h.Key,
-		s.cfg.Studios[t.studio].Keys[0], t.ID, float64(t.work.Microseconds())/1000, h.Patience, t.Patience.Milliseconds(), h.Retry, t.number)
+		s.cfg.Studios[t.studio].Keys[0], t.ID, float64(t.work.Microseconds())/1000, h.Patience, max(0, t.Patience-s.ways()).Milliseconds(), h.Retry, t.number)
 	if op.Units.In == "header" {
 		fmt.Fprintf(&b, "%s: %g\r\n", op.Units.Name, units)
 	}
@@ -177,7 +180,19 @@
 	c.out = append(c.out, b.String()...)
 	c.flush()
 	patience := t.Patience
-	s.last(s.now+patience+s.net.latency*3, func() { s.finish(t, audit.GaveUp, 0) })
+	s.last(s.now+patience, func() {
+		switch {
+		case t.over:
+			return
+		case c.e == nil: // nobody has accepted the connection, let alone the request
+			c.lost(audit.NoDoor)
+			return
+		case c.taken > t.Asked+2*s.ways(): // it was accepted when the client had already waited
+			s.finish(t, audit.Left, 0)
+			return
+		}
+		s.finish(t, audit.GaveUp, 0)
+	})
 	if t.rng.Float64() < s.quit {
 		s.after(time.Duration(t.rng.Float64()*0.2*float64(patience)), func() {
 			if !t.over {
@@ -188,6 +203,11 @@
 	}
 }
 
+// ways is what a client takes off its patience for the way there and back.
+func (s *Sim) ways() time.Duration {
+	return time.Duration(2 * float64(s.net.latency) * (1 + 5*s.net.jitter))
+}
+
 // finish ends a try, and asks again where a client would.
 func (s *Sim) finish(t *try, e audit.Ending, answers int) {
 	if t.over {
@@ -199,7 +219,7 @@
 	end := audit.End{ID: t.ID, Ending: e, At: s.now, Answers: answers}
 	s.ends[t.ID] = end
 	s.check.Ended(end)
-	if t.tail && e != audit.Left {
+	if t.tail && e != audit.Left && t.status != 429 {
 		s.asked++
 		if e == audit.Served {
 			s.served++
@@ -214,7 +234,7 @@
 	}
 	next := *t
 	next.number++
-	next.over = false
+	next.over, next.status = false, 0
 	next.Patience = min(next.Patience, s.cfg.Settings.Classes[s.cfg.ClassOf[t.op]].Deadline)
 	wait := time.Duration((0.5 + t.rng.Float64()) * float64(100*time.Millisecond<<t.number))
 	s.after(wait, func() {
@@ -245,7 +265,7 @@
 		case !ok:
 			c.lost(audit.NoDoor)
 		default:
-			c.e = e
+			c.e, c.taken = e, a.s.now
 			c.flush()
 		}
 	})
@@ -269,7 +289,14 @@
 	out := c.waiting
 	c.waiting = nil
 	c.end(true)
-	for _, t := range out {
+	for i, t := range out {
+		if i == 0 && c.begun && e == audit.Cut { // an answer that flowed and broke off: its client knows that it failed
+			c.a.s.finish(t, audit.Failed, 1)
+			continue
+		}
+		if i > 0 && e == audit.Cut { // a door takes one request at a time: those behind were not accepted
+			e = audit.Left
+		}
 		c.a.s.finish(t, e, 0)
 	}
 }
@@ -326,9 +353,10 @@
 		switch part.Kind {
 		case http1.HeadEnd:
 			if part.Head.Status >= 200 {
-				c.head = part.Head
+				c.head, c.begun = part.Head, true
 			}
 		case http1.End:
+			c.begun = false
 			c.waiting = c.waiting[1:]
 			c.whole(t)
 			if c.head.Close {
@@ -350,6 +378,7 @@
 	if id, ok := h.Get("X-Answers"); ok && id != t.ID {
 		s.find(RuleWhose, fmt.Sprintf("%s got the answer to %s", t.ID, id))
 	}
+	t.status = h.Status
 	e := audit.Failed
 	switch {
 	case h.Status < 400:
--- a/internal/virtual/door.go
+++ b/internal/virtual/door.go
@@ -288,7 +288,7 @@
 				c.d.s.after(time.Second, c.d.guard(func() { c.end(false) }))
 				c.e.read()
 			} else {
-				c.end(false)
+				c.end(c.m.Aborts())
 			}
 			return
 		}
@@ -333,8 +333,6 @@
 	c.m.Relay(c.d.now(), ex, b, end, broken)
 	if broken {
 		c.d.s.reach("answer cut off")
-		c.end(true)
-		return
 	}
 	c.after(nil)
 	c.readable(nil)
--- a/internal/virtual/generate.go
+++ b/internal/virtual/generate.go
@@ -101,7 +101,7 @@
 	s.Net.Latency = strict.Duration(time.Duration(pick(100, 300, 1000, 5000)) * time.Microsecond)
 	s.Net.Jitter = pick(0, 0.3, 1, 3)
 	s.Net.Split = pick(0, 0, 0.1, 0.6, 0.9)
-	s.Drift = pick(0, 0, 0.001, 0.02)
+	s.Drift = pick(0, 0, 0.0002, 0.002)
 	s.Clients = Clients{Retries: rng.IntN(4), Pipeline: pick(0, 0.03, 0.2), Fresh: pick(0.02, 0.2, 0.8), Body: int(pick(0, 40, 40, 2000))}
 	var on []kind
 	for len(on) == 0 {
--- a/internal/virtual/sim.go
+++ b/internal/virtual/sim.go
@@ -20,6 +20,7 @@
 	recovery   = 8 * time.Second  // after the last trouble, service must be back
 	leastBack  = 0.75             // share of the tries that are served then
 	fewestBack = 12               // tries that tell
+	mostLoad   = 0.5              // share of what the boxes can do, above which they may be right to refuse
 	afterwards = 45 * time.Second // until all that idles is closed
 )
 
@@ -291,7 +292,12 @@
 			switch e.Verb {
 			case trouble.Pause:
 				h.pause(true)
-				end(func() { h.pause(false); s.net.admit(h) })
+				s.check.DoorStopped(s.doorOf(h), s.now)
+				end(func() {
+					h.pause(false)
+					s.net.admit(h)
+					s.check.DoorStopped(s.doorOf(h), s.now)
+				})
 			case trouble.Deaf:
 				h.deaf = true
 				end(func() { h.deaf = false; s.net.admit(h) })
@@ -469,7 +475,14 @@
 			s.find(RuleLeak, fmt.Sprintf("door %d holds %d lines to boxes, its runtime %d", d.number, lines, len(d.lines)))
 		}
 	}
-	if s.asked >= fewestBack && float64(s.served) < leastBack*float64(s.asked) {
+	cores := 0.0
+	for _, b := range s.boxes {
+		if b.state == "up" && b.host.alive && !b.box.Fallen() {
+			cores += float64(s.script.Boxes.Cores)
+		}
+	}
+	load := s.script.Rate * time.Duration(s.script.Boxes.Work).Seconds() / max(cores, 1e-9)
+	if load < mostLoad && s.asked >= fewestBack && float64(s.served) < leastBack*float64(s.asked) {
 		s.find(RuleBack, fmt.Sprintf("%d of %d tries were served later than %v after the last trouble", s.served, s.asked, recovery))
 	}
 }
