--- a/door/boxconn.go
+++ b/door/boxconn.go
@@ -30,7 +30,7 @@
 	Load   []float64 // as the box reported, in the order of the configuration; nil if it did not
 	Units  float64
 	Reuse  bool // Whole, Over: the connection can take another request
-	Any    bool // Broken: some bytes of an answer had come
+	Got    int  // Broken: bytes of an answer that had come
 	Close  bool // Begun: only the end of the client's connection can tell where the body ends
 }
 
@@ -45,7 +45,8 @@
 	body   []byte
 	flows  bool
 	chunks bool // of the answer to the client
-	any    bool
+	got    int
+	stray  []byte // of a planted mistake
 }
 
 // NewBoxConn begins a connection.
@@ -56,7 +57,7 @@
 
 // Expect sets the connection up for the answer to a request that is about to be written.
 func (b *BoxConn) Expect(ex *Exchange) {
-	b.ex, b.head, b.body, b.flows, b.chunks, b.any = ex, nil, nil, false, false, false
+	b.ex, b.head, b.body, b.flows, b.chunks, b.got = ex, nil, nil, false, false, 0
 	b.rd.Expect(ex.Method)
 }
 
@@ -66,9 +67,12 @@
 		if len(in) == 0 {
 			return Answer{}
 		}
-		return Answer{Kind: Broken, Any: true} // bytes that nobody asked for
+		return Answer{Kind: Broken, Got: len(in)} // bytes that nobody asked for
 	}
-	b.any = b.any || len(in) > 0
+	if len(b.stray) > 0 {
+		in, b.stray = append(b.stray, in...), nil
+	}
+	b.got += len(in)
 	var out []byte
 	for {
 		n, part, err := b.rd.Feed(in)
@@ -103,6 +107,9 @@
 			}
 		case http1.End:
 			reuse := !b.head.Close && len(in) == 0 // what follows the end of an answer belongs to none
+			if mutant("desync") && len(in) > 0 {
+				reuse, b.stray = !b.head.Close, append([]byte(nil), in...)
+			}
 			return b.end(out, part.Trailers, reuse)
 		}
 	}
@@ -120,9 +127,12 @@
 	return b.end(nil, nil, false)
 }
 
+// Lost tells that the connection was lost.
+func (b *BoxConn) Lost() Answer { return b.broken() }
+
 func (b *BoxConn) broken() Answer {
 	b.ex = nil
-	return Answer{Kind: Broken, Any: b.any}
+	return Answer{Kind: Broken, Got: b.got}
 }
 
 func (b *BoxConn) stream() bool {
--- a/door/core.go
+++ b/door/core.go
@@ -12,6 +12,11 @@
 // WishKind says what a Wish asks of the runtime.
 type WishKind uint8
 
+// String names the kind.
+func (k WishKind) String() string {
+	return [...]string{"dial", "write", "hang", "final", "grant", "cut", "dial keeper", "send keeper", "hang keeper", "read list"}[k]
+}
+
 // The wishes. They are carried out in order, and none may block the core's owner.
 const (
 	Dial       WishKind = iota // connect Line to Line.Addr; tell LineUp or LineDown
@@ -19,7 +24,6 @@
 	Hang                       // close Line; nothing more is told of it
 	Final                      // hand Bytes to Exchange's client as its whole answer
 	Grant                      // Line's begun answer may flow to Exchange's client
-	Deny                       // Line's begun answer is not wanted; Line is closed
 	Cut                        // close the connection of Exchange's client: its begun answer broke off
 	DialKeeper                 // connect to Addr; tell KeeperUp or KeeperDown
 	SendKeeper                 // write Bytes to the keeper
@@ -165,7 +169,7 @@
 			}
 		case choice.Fail:
 			p := failedHere
-			if ex := c.requests[a.Request]; ex != nil && ex.open > 0 {
+			if ex := c.requests[a.Request]; ex != nil && c.now >= c.due(ex) {
 				p = failedLate
 			}
 			c.final(a.Request, stepFail, p, 0)
@@ -191,11 +195,16 @@
 	c.requests[ex.ID] = ex
 	c.owed++
 	c.Stats.Arrived++
-	left := ex.Patience - (c.now - ex.Arrived) - time.Duration(c.set.Config.Limits.AnswerMargin)
+	left := c.due(ex) - c.now
 	c.tell(choice.Arrived{Request: ex.ID, Class: ex.Class, Plan: ex.Studio.Plan, Customer: ex.Studio.Name,
 		Left: max(0, left), Units: ex.Units, Spread: ex.Studio.Spread, First: ex.Studio.First, Retry: ex.Retry})
 }
 
+// due is when an exchange must be answered.
+func (c *Core) due(ex *Exchange) time.Duration {
+	return ex.Arrived + ex.Patience - time.Duration(c.set.Config.Limits.AnswerMargin)
+}
+
 // Leave tells that an exchange's client is gone.
 func (c *Core) Leave(now time.Duration, ex *Exchange) {
 	c.at(now)
@@ -234,7 +243,7 @@
 	if !c.set.Config.RetryAfter.Tell {
 		retry = 0
 	}
-	ex.Status = p.status
+	ex.Status, ex.answered = p.status, c.now
 	c.owed--
 	c.wish(Wish{Kind: Final, Exchange: ex,
 		Bytes: p.append(nil, ex.Method, ex.Minor, ex.Close || c.set.Draining(), retry)})
@@ -375,7 +384,7 @@
 		l.ex = nil
 		c.hang(l)
 		c.lose(ex, n, choice.Void, false)
-	case l.box.entry.State != choice.Up && c.now >= l.box.told+c.set.Config.Settings.DrainGrace/2:
+	case !mutant("drain") && l.box.entry.State != choice.Up && c.now >= l.box.told+c.set.Config.Settings.DrainGrace/2:
 		// the box went away while we were connecting, and its grace may end before the request is there
 		l.ex = nil
 		c.hang(l)
@@ -437,7 +446,7 @@
 }
 
 // AnswerOn tells what came on a line: Whole, Begun, Over or Broken; Flow and Nothing don't concern the core. After
-// Begun the runtime waits for Grant or Deny before it reads on.
+// Begun the runtime waits for Grant, or Hang, before it reads on.
 func (c *Core) AnswerOn(now time.Duration, l *Line, a *Answer) {
 	c.at(now)
 	ex, n := l.ex, l.n
@@ -476,6 +485,7 @@
 			c.later(choice.StreamStarted{Request: ex.ID, Attempt: n, Server: l.box.entry.Server})
 			break
 		}
+		c.timers.push(timer{at: c.due(ex), kind: flowTimer, request: ex.ID})
 		// The box has done its part. What the rest takes is up to how fast the client reads, and must not look
 		// like a slow box to the gateway.
 		c.ended(ex, n, choice.AttemptEnded{Outcome: choice.OK, Settled: true, Load: a.Load, Units: a.Units})
@@ -495,7 +505,11 @@
 	case Broken:
 		l.ex = nil
 		c.hang(l)
-		c.broken(ex, n, choice.Reset)
+		o := choice.Reset
+		if mutant("offset") && a.Got == 17 {
+			o = choice.ConnectFailed
+		}
+		c.broken(ex, n, o)
 	}
 	c.settle()
 }
@@ -504,6 +518,9 @@
 func (c *Core) whole(ex *Exchange, n int, a *Answer) {
 	o := c.outcome(a.Status)
 	settled := ex.state != Trying
+	if mutant("second") && ex.state == Done && ex.answered == c.now && o == choice.OK {
+		c.wish(Wish{Kind: Final, Exchange: ex, Bytes: a.Bytes})
+	}
 	if o == choice.OK && !ex.isProbe && ex.take(stepAnswer) {
 		ex.Status, settled = a.Status, true
 		c.owed--
@@ -598,6 +615,11 @@
 			c.keeperLate()
 		case keeperDial:
 			c.dialKeeper()
+		case flowTimer: // its client is about to give up: it is told that the answer failed, rather than left waiting
+			if ex := c.requests[t.request]; ex != nil && ex.state == Relaying {
+				c.hang(ex.carrier)
+				c.broken(ex, ex.relay, choice.TimedOut)
+			}
 		case sweepTimer:
 			c.sweep()
 			c.timers.push(timer{at: c.now + sweepEvery, kind: sweepTimer})
--- a/door/core_test.go
+++ b/door/core_test.go
@@ -373,6 +373,29 @@
 	r.quiet()
 }
 
+// TestFlowBeyondPatience: an answer that has begun and is not over when its client gives up is cut off, so that the
+// client knows that it failed; a streaming class's goes on.
+func TestFlowBeyondPatience(t *testing.T) {
+	for path, cut := range map[string]bool{"/look": true, "/feed": false} {
+		r := newRig(t, 1, 1, "")
+		_, ex := r.ask("GET", path, "ka", "")
+		l, _ := r.up()
+		r.reply(l, ex, "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n"+strings.Repeat("x", 2000))
+		r.want(Grant)
+		r.pass(2*time.Second - 21*time.Millisecond)
+		r.none(Cut)
+		r.pass(2 * time.Millisecond)
+		if !cut {
+			r.none(Cut)
+			continue
+		}
+		if r.want(Cut).Exchange != ex || r.want(Hang).Line != l {
+			t.Error("another one is cut")
+		}
+		r.quiet()
+	}
+}
+
 // TestFullStatuses: a 503 only means "turned away unseen" where the configuration says so; else an unsafe request
 // that got one may have run.
 func TestFullStatuses(t *testing.T) {
--- a/door/exchange.go
+++ b/door/exchange.go
@@ -93,7 +93,8 @@
 	carrier  *Line // and its line
 	probe    choice.ServerID
 	isProbe  bool
-	held     int // bytes reserved in Shared.Memory
+	answered time.Duration // when the gateway's answer was given
+	held     int           // bytes reserved in Shared.Memory
 }
 
 // attempt is one send of an exchange.
--- /dev/null
+++ b/door/mutants_on.go
@@ -0,0 +1,8 @@
+//go:build mutants
+
+package door
+
+// Mutant names the planted mistake that is in force. Set it before anything runs.
+var Mutant string
+
+func mutant(name string) bool { return Mutant == name }
--- a/door/timers.go
+++ b/door/timers.go
@@ -16,6 +16,7 @@
 	keeperTimer                   // the oldest keeper call is overdue
 	keeperDial                    // the keeper is to be tried again
 	sweepTimer                    // idle lines are to be looked at
+	flowTimer                     // the client of a flowing answer gives up
 )
 
 // timer is an entry of the queue. It names its request by number, so that an entry keeps nothing alive.
--- a/internal/sockets/line.go
+++ b/internal/sockets/line.go
@@ -82,6 +82,8 @@
 	switch {
 	case err == io.EOF && ex != nil:
 		a = lc.m.EOF()
+	case err != nil && ex != nil:
+		a = lc.m.Lost()
 	case err != nil:
 		lc.mu.Unlock()
 		lc.lost(false)
--- a/internal/virtual/asker.go
+++ b/internal/virtual/asker.go
@@ -333,6 +333,9 @@
 			if len(in) == 0 {
 				break
 			}
+			if c.slow && len(in) > 12 {
+				s.reach("status " + string(in[9:12]))
+			}
 			if !c.slow {
 				s.find(RuleWhose, fmt.Sprintf("door %d sends %.40q to a client that awaits nothing", c.a.door, in))
 			}
@@ -389,10 +392,34 @@
 	s.finish(t, e, 1)
 }
 
+// unread is a client that asks for a lot and reads nothing.
+func (s *Sim) unread(a *asker, c *askConn) {
+	s.reach("client reads nothing")
+	text := strings.Repeat(fmt.Sprintf("GET /bookings HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", s.cfg.Headers.Key, s.cfg.Studios[0].Keys[0]), 8)
+	c.ask = s.net.dial(s.world, fmt.Sprintf("door-%d", a.door), mute{c}, func(e *end, ok bool) {
+		if ok && !c.gone {
+			c.e = e
+			e.write([]byte(text))
+		}
+	})
+	s.after(12*time.Second, func() { c.end(true) })
+}
+
+// mute owns the connection of a client that does not read.
+type mute struct{ c *askConn }
+
+func (mute) readable(*end)       {}
+func (mute) writable(*end)       {}
+func (m mute) closed(*end, bool) { m.c.end(true) }
+
 // nuisance is a client that sends what is no request, or sends one so slowly that nobody waits for it.
 func (s *Sim) nuisance(rng *rand.Rand, slow bool) {
 	a := s.askers[rng.IntN(len(s.askers))]
 	c := &askConn{a: a, rd: http1.NewResponses(http1.Limits{}), slow: true}
+	if slow && rng.IntN(3) == 0 {
+		s.unread(a, c)
+		return
+	}
 	text := []string{"GET / HTTP/1.1\n\n", "POST /payments HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"\x16\x03\x01\x00\xa5\x01\x00\x00", "GET /bookings HTTP/1.1\r\nHost: h\r\nX-Api-Key: nobody\r\n\r\nGET", "POST /payments HTTP/1.1\r\nHost: h\r\nContent-Length: 999999999\r\n\r\nx",
 		strings.Repeat("a", 9000)}[rng.IntN(6)]
--- a/internal/virtual/door.go
+++ b/internal/virtual/door.go
@@ -31,7 +31,6 @@
 	clients []*vclient
 	lines   []*vline
 	keeper  *vkeeperLink
-	fresh   *Sim
 }
 
 func (d *vdoor) now() time.Duration {
@@ -106,7 +105,7 @@
 		more = false
 		for _, w := range d.core.Wishes() {
 			more = true
-			d.s.reach(fmt.Sprintf("wish %d", w.Kind))
+			d.s.reach(wishNames[w.Kind])
 			switch w.Kind {
 			case door.Dial:
 				d.dial(w.Line)
@@ -167,6 +166,13 @@
 // epoch is the calendar time at which virtual time is zero.
 var epoch = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
 
+var wishNames = func() (names []string) {
+	for k := door.Dial; k <= door.ReadList; k++ {
+		names = append(names, "wish "+k.String())
+	}
+	return names
+}()
+
 // vclient is a client's connection at its door.
 type vclient struct {
 	d      *vdoor
@@ -394,6 +400,10 @@
 	if v.dead {
 		return
 	}
+	if v.ex != nil && !unsent {
+		v.got(v.m.Lost())
+		return
+	}
 	v.dead = true
 	unsent = unsent || v.ex == nil
 	v.forget()
--- a/internal/virtual/generate.go
+++ b/internal/virtual/generate.go
@@ -71,7 +71,7 @@
 	{trouble.Quit, "all", between(0.05, 0.5), 5 * time.Second},
 	{trouble.Drip, "all", between(0.02, 0.2), 5 * time.Second},
 	{trouble.Noise, "all", between(0.02, 0.3), 5 * time.Second},
-	{trouble.Partition, "door/box", nil, 4 * time.Second},
+	{trouble.Partition, "door/box", nil, 7 * time.Second},
 	{trouble.Partition, "door/keeper", nil, 4 * time.Second},
 	{trouble.Oneway, "door/box", nil, 4 * time.Second},
 	{trouble.Oneway, "box/door", nil, 4 * time.Second},
@@ -246,9 +246,7 @@
 	names := []string{"answer broken", "answer cut off", "answer flows", "client drips", "client left", "client makes noise", "client quits",
 		"client reset", "client too slow", "dial refused", "line reset", "list broken", "stream silent", "status 200", "status 400", "status 408",
 		"status 413", "status 429", "status 502", "status 503", "status 504", "try served", "try refused", "try failed", "try cut", "try no door", "try left"}
-	for k := range 10 {
-		names = append(names, fmt.Sprintf("wish %d", k))
-	}
+	names = append(names, wishNames...)
 	for _, v := range Verbs() {
 		names = append(names, "trouble "+v)
 	}
--- a/internal/virtual/script.go
+++ b/internal/virtual/script.go
@@ -194,11 +194,11 @@
 	for i, plan := range []string{"hobby", "hobby", "hobby", "hobby", "hobby", "studio", "studio", "studio", "school", "school"} {
 		fmt.Fprintf(&s, "  - {name: %s-%d, plan: %s, keys: [key-%d], doors: {first: %d, spread: 2}}\n", plan, i, plan, i, i)
 	}
-	s.WriteString(`boxes: {file: boxes.yaml, drain-grace: 1s, cold: {share: 0.25, time: 8s}, overload: {factor: 4, time: 2s}}
+	s.WriteString(`boxes: {file: boxes.yaml, drain-grace: 300ms, cold: {share: 0.25, time: 8s}, overload: {factor: 4, time: 2s}}
 load: {via: answers, fields: [{name: named_metrics.in_flight, is: in-flight}, {name: cpu_utilization, is: utilization}]}
 attempts: {most: 3}
 keeper: {address: "10.0.0.1:6379", timeout: 80ms, price: 0.02}
-limits: {hold-answer: 4KiB, write-timeout: 5s, idle-timeout: 20s, head-timeout: 5s, body-timeout: 5s, box-idle-timeout: 5s, stream-silence: 5s, lines-per-box: 64}
+limits: {hold-answer: 4KiB, write-timeout: 5s, idle-timeout: 20s, head-timeout: 5s, body-timeout: 5s, box-idle-timeout: 5s, stream-silence: 4s, lines-per-box: 64, connect-timeout: 600ms}
 `)
 	return config.Parse("gateway.yaml", []byte(s.String()), []byte(`openapi: 3.0.3
 info: {title: simulated, version: "1"}
--- a/internal/virtual/sim.go
+++ b/internal/virtual/sim.go
@@ -21,7 +21,7 @@
 	leastBack  = 0.75             // share of the tries that are served then
 	fewestBack = 12               // tries that tell
 	mostLoad   = 0.5              // share of what the boxes can do, above which they may be right to refuse
-	afterwards = 45 * time.Second // until all that idles is closed
+	afterwards = 25 * time.Second // on top of the longest time-out, until all that idles is closed
 )
 
 // The rules that a run is held to beside the five.
@@ -130,7 +130,8 @@
 	s.check.Broken = func(rule int, what string) { s.find(s.check.Rules()[rule].Name, what) }
 	s.begin()
 	end := time.Duration(script.Seconds * float64(time.Second))
-	limit := end + afterwards
+	l := s.cfg.Limits
+	limit := end + afterwards + time.Duration(max(l.IdleTimeout, l.BoxIdleTimeout, l.HeadTimeout, l.BodyTimeout))
 	if opt.Until > 0 {
 		limit = min(limit, opt.Until)
 	}
--- /dev/null
+++ b/internal/virtual/virtual_test.go
@@ -0,0 +1,168 @@
+package virtual
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"sandyard/config"
+)
+
+// TestRegressions: scripts that once broke a rule break none.
+func TestRegressions(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.yaml")
+	if len(files) == 0 {
+		t.Fatal("no scripts")
+	}
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := ReadScript(f, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o, err := Run(s, Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, x := range o.Findings {
+			t.Errorf("%s: %v: %s: %s", f, x.At, x.Rule, x.What)
+		}
+	}
+}
+
+// TestShortSweep: a few hundred seeds, none of which breaks a rule, and which reach what matters.
+func TestShortSweep(t *testing.T) {
+	reached := map[string]int{}
+	for seed := uint64(1); seed <= 150; seed++ {
+		o, err := Run(Generate(seed, Usual()), Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(o.Findings) > 0 {
+			t.Errorf("seed %d: %+v", seed, o.Findings[0])
+		}
+		for k, n := range o.Reached {
+			reached[k] += n
+		}
+	}
+	for _, k := range []string{"answer flows", "client left", "line reset", "dial refused", "status 429", "status 503", "try failed", "list broken", "wish cut"} {
+		if reached[k] == 0 {
+			t.Errorf("not reached: %s", k)
+		}
+	}
+}
+
+// TestSameEvents: a script's events are the same on every run, whatever else runs and however many processors there
+// are.
+func TestSameEvents(t *testing.T) {
+	for seed := uint64(200); seed < 206; seed++ {
+		var logs [3]strings.Builder
+		var sums [3]uint64
+		for i := range logs {
+			was := runtime.GOMAXPROCS([]int{1, 4, 2}[i])
+			o, err := Run(Generate(seed, Usual()), Options{GoOn: true, Log: func(at time.Duration, what string) { fmt.Fprintln(&logs[i], at, what) }})
+			runtime.GOMAXPROCS(was)
+			if err != nil {
+				t.Fatal(err)
+			}
+			sums[i] = o.Digest
+		}
+		if sums[0] != sums[1] || sums[0] != sums[2] || logs[0].String() != logs[1].String() {
+			t.Errorf("seed %d: %x", seed, sums)
+		}
+	}
+}
+
+// TestScriptsReadBack: a script states all that a run needs.
+func TestScriptsReadBack(t *testing.T) {
+	for seed := uint64(300); seed < 320; seed++ {
+		s := Generate(seed, Usual())
+		back, err := ReadScript("x", []byte(s.Text()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, _ := Run(s, Options{GoOn: true})
+		b, _ := Run(back, Options{GoOn: true})
+		if a.Digest != b.Digest || back.Text() != s.Text() {
+			t.Errorf("seed %d reads back as another script:\n%s%s", seed, s.Text(), back.Text())
+		}
+	}
+}
+
+// TestStreamsAreApart: another trouble does not shift the traffic.
+func TestStreamsAreApart(t *testing.T) {
+	asks := func(troubles string) string {
+		s, err := ReadScript("x", []byte("version: 1\nseed: 9\nseconds: 5\nclients: {retries: 0}\ntroubles: "+troubles))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out strings.Builder
+		Run(s, Options{GoOn: true, Log: func(at time.Duration, what string) {
+			if strings.HasPrefix(what, "ask") {
+				fmt.Fprintln(&out, at, what)
+			}
+		}})
+		return out.String()
+	}
+	if a, b := asks("[]"), asks("[{at: 1s, for: 2s, verb: hang, target: box-0}, {at: 2s, verb: empty, target: keeper}]"); a != b || a == "" {
+		t.Error("the traffic is another")
+	}
+}
+
+func TestScriptMistakes(t *testing.T) {
+	for text, want := range map[string]string{
+		"version: 0\n":                  "reads scripts of version 1",
+		"version: 2\n":                  "reads scripts of version 1",
+		"version: 1\ndoors: 0\n":        "doors: 0: expected 1 to 64",
+		"version: 1\nnet: {split: 1}\n": "net.split",
+		"version: 1\ntroubles: [{at: 1s, verb: hagn, target: box-0}]\n": "hagn",
+		"version: 1\ntroubles: [{at: 1s, verb: hang}]\n":                "target: missing",
+		"version: 1\ntroubles: [{at: 1h, verb: hang, target: x}]\n":     "after the end of the traffic",
+		"version: 1\nfoo: 1\n": "unknown key",
+	} {
+		if _, err := ReadScript("s.yaml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "s.yaml:") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+// TestLongTimes: hours of virtual time are no different.
+func TestLongTimes(t *testing.T) {
+	s, err := ReadScript("x", []byte("version: 1\nseed: 3\nseconds: 14400\nrate: 0.2\ndoors: 2\ntroubles: [{at: 3h, for: 10s, verb: silent, target: keeper}, {at: 3h1m, for: 2s, verb: kill, target: door-1}]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := Run(s, Options{})
+	if err != nil || len(o.Findings) > 0 || o.Virtual < 4*time.Hour {
+		t.Errorf("%v %v %v", err, o.Findings, o.Virtual)
+	}
+}
+
+// TestOnesOwnConfiguration: users run their own files.
+func TestOnesOwnConfiguration(t *testing.T) {
+	cfg, err := config.Load("../../examples/kilns/gateway.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := 0
+	for seed := uint64(1); seed < 20; seed++ {
+		o, err := Run(Generate(seed, Usual()), Options{Config: cfg})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(o.Findings) > 0 {
+			t.Errorf("seed %d: %+v", seed, o.Findings[0])
+		}
+		served += o.Reached["try served"]
+	}
+	if served == 0 {
+		t.Error("nothing is served")
+	}
+}
