--- a/internal/cli/drill.go
+++ b/internal/cli/drill.go
@@ -12,7 +12,7 @@
 	"text/tabwriter"
 
 	"sandyard/internal/drill"
-	"sandyard/trouble"
+	"sandyard/internal/virtual"
 )
 
 // as is the first argument that makes sandyard-drill run as one of the programs it drills, so that a drill needs one
@@ -42,7 +42,7 @@
 	Doors   int     `default:"3" help:"Front doors."`
 	Boxes   int     `default:"8" help:"Boxes; the built-in day needs 8."`
 	Rate    float64 `default:"180" help:"Requests a second on a usual second."`
-	Script  string  `type:"existingfile" help:"Troubles to play instead of the built-in day." placeholder:"FILE"`
+	Script  string  `type:"existingfile" help:"A script of sandyard-sim to play instead of the built-in day: its seed, seconds, doors, boxes, rate and troubles." placeholder:"FILE"`
 	JSON    bool    `help:"Print the outcome as JSON."`
 	Keep    string  `type:"path" help:"Keep the processes' logs and files in this folder." placeholder:"DIR"`
 	Quiet   bool    `help:"Don't tell of troubles as they are played."`
@@ -58,9 +58,12 @@
 		if err != nil {
 			return err
 		}
-		if opt.Script, err = trouble.ReadScript(a.Script, text); err != nil {
+		script, err := virtual.ReadScript(a.Script, text)
+		if err != nil {
 			return err
 		}
+		opt.Events, opt.Seed, opt.Seconds, opt.Doors, opt.Boxes, opt.Rate = script.Events, script.Seed, script.Seconds, script.Doors,
+			script.Boxes.Count, script.Rate
 	}
 	if !a.Quiet {
 		opt.Log = c.Errs
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -27,13 +27,13 @@
 // Options say what to play. Zero values stand for defaults.
 type Options struct {
 	Seed    uint64
-	Seconds float64 // of traffic; 50
-	Doors   int     // 3
-	Boxes   int     // 8
-	Rate    float64 // requests a second that are asked for on a usual second; 180
-	Script  *trouble.Script
-	Slack   time.Duration // between where things happen and where they are noted; 150 ms
-	Keep    string        // folder for the processes' logs; a temporary one that is removed, if empty
+	Seconds float64         // of traffic; 50
+	Doors   int             // 3
+	Boxes   int             // 8
+	Rate    float64         // requests a second that are asked for on a usual second; 180
+	Events  []trouble.Event // the built-in day if nil
+	Slack   time.Duration   // between where things happen and where they are noted; 150 ms
+	Keep    string          // folder for the processes' logs; a temporary one that is removed, if empty
 	Log     io.Writer
 	// Command says how to run a program: "sandyard" or "sandyard-standin".
 	Command func(program string) (exe string, args []string)
@@ -145,9 +145,9 @@
 }
 
 // Day is the bad day's script, fitted to a number of seconds.
-func Day(seconds float64) *trouble.Script {
+func Day(seconds float64) []trouble.Event {
 	at := func(share float64) time.Duration { return time.Duration(share * seconds * float64(time.Second)) }
-	return &trouble.Script{Version: trouble.Version, Events: []trouble.Event{
+	return []trouble.Event{
 		{At: at(0.08), For: at(0.08), Verb: trouble.Surge, Target: "*", Value: 1.9},
 		{At: at(0.20), For: at(0.14), Verb: trouble.Surge, Target: "school-0", Value: 6},
 		{At: at(0.20), For: at(0.14), Verb: trouble.Surge, Target: "hobby-1", Value: 10},
@@ -163,9 +163,13 @@
 		{At: at(0.76), For: at(0.05), Verb: trouble.Lose, Target: "box-6"},
 		{At: at(0.80), For: at(0.04), Verb: trouble.Kill, Target: "door-1"},
 		{At: at(0.86), Verb: trouble.Move, Target: "*"},
-	}}
+	}
 }
 
+// playable are the verbs that mean something on sockets.
+var playable = []trouble.Verb{trouble.Slow, trouble.Hang, trouble.Reset, trouble.Lose, trouble.Fault, trouble.Refuse, trouble.Trail, trouble.Lie,
+	trouble.Stall, trouble.Silent, trouble.Delay, trouble.Empty, trouble.Kill, trouble.Drain, trouble.Replace, trouble.Leave, trouble.Surge, trouble.Move}
+
 // Run plays a drill.
 func Run(ctx context.Context, opt Options) (Report, error) {
 	def := func(p *float64, v float64) {
@@ -184,8 +188,13 @@
 	if opt.Slack == 0 {
 		opt.Slack = 150 * time.Millisecond
 	}
-	if opt.Script == nil {
-		opt.Script = Day(opt.Seconds)
+	if opt.Events == nil {
+		opt.Events = Day(opt.Seconds)
+	}
+	for _, e := range opt.Events {
+		if !slices.Contains(playable, e.Verb) {
+			return Report{}, fmt.Errorf("%s: only in virtual time", e.Verb)
+		}
 	}
 	ceilings := map[string]audit.Ceiling{}
 	for _, p := range plans {
@@ -226,7 +235,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := Report{Verdict: d.audit.Verdict(), Seed: opt.Seed, Seconds: opt.Seconds, Tries: d.tries, Exits: d.exits,
-		Troubles: len(opt.Script.Events)}
+		Troubles: len(opt.Events)}
 	asked, served := 0.0, 0.0
 	for _, p := range r.Plans {
 		asked, served = asked+p.WorthAsked, served+p.WorthServedInTime
@@ -410,7 +419,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	begun := time.Now()
 	g.Go(func() error { return d.traffic(ctx, begun) })
-	for _, e := range d.opt.Script.Events {
+	for _, e := range d.opt.Events {
 		g.Go(func() error {
 			if !sleep(ctx, time.Until(begun.Add(e.At))) {
 				return nil
@@ -547,7 +556,7 @@
 		controls = append(controls, d.control)
 	}
 	for _, b := range d.boxes {
-		if b.state != "gone" && (e.Target == "*" || e.Target == b.name) {
+		if b.state != "gone" && (e.Target == "*" || e.Target == "boxes" || e.Target == b.name) {
 			controls = append(controls, b.control)
 		}
 	}
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -50,7 +50,7 @@
 		return exe, []string{"--as=" + p}
 	}}
 	if len(events) > 0 {
-		opt.Script = &trouble.Script{Version: trouble.Version, Events: events}
+		opt.Events = events
 	}
 	r, err := drill.Run(context.Background(), opt)
 	if err != nil {
--- a/internal/virtual/generate.go
+++ b/internal/virtual/generate.go
@@ -146,7 +146,7 @@
 	case "door/keeper":
 		return door() + "/keeper"
 	case "studio":
-		return []string{"school-8", "school-9", "studio-5", "hobby-0"}[rng.IntN(4)]
+		return []string{"school-0", "school-1", "studio-0", "hobby-0"}[rng.IntN(4)]
 	case "plan":
 		return []string{"school", "studio", "hobby"}[rng.IntN(3)]
 	case "boxes":
--- a/internal/virtual/script.go
+++ b/internal/virtual/script.go
@@ -191,8 +191,15 @@
   - {name: school, rate: 24/s, burst: 36, price: 1.8, over-cost: 1.2, ceiling: {rate: 40/s, burst: 60, slack: 6}}
 studios:
 `)
-	for i, plan := range []string{"hobby", "hobby", "hobby", "hobby", "hobby", "studio", "studio", "studio", "school", "school"} {
-		fmt.Fprintf(&s, "  - {name: %s-%d, plan: %s, keys: [key-%d], doors: {first: %d, spread: 2}}\n", plan, i, plan, i, i)
+	n := 0
+	for _, p := range []struct {
+		plan    string
+		studios int
+	}{{"hobby", 5}, {"studio", 3}, {"school", 2}} {
+		for i := range p.studios {
+			fmt.Fprintf(&s, "  - {name: %s-%d, plan: %s, keys: [key-%d], doors: {first: %d, spread: 2}}\n", p.plan, i, p.plan, n, n)
+			n++
+		}
 	}
 	s.WriteString(`boxes: {file: boxes.yaml, drain-grace: 300ms, cold: {share: 0.25, time: 8s}, overload: {factor: 4, time: 2s}}
 load: {via: answers, fields: [{name: named_metrics.in_flight, is: in-flight}, {name: cpu_utilization, is: utilization}]}
