--- a/audit/audit.go
+++ b/audit/audit.go
@@ -62,7 +62,8 @@
 type Receipt struct {
 	ID, Box string
 	At      time.Duration
-	Door    int // that sent it; only its own notices of drains count, and those to AllDoors
+	Door    int           // that sent it; only its own notices of drains count, and those to AllDoors
+	Sent    time.Duration // when it was, if that is known: what a network holds up is not new
 }
 
 // Run is a request's effect at a box.
--- a/audit/checker.go
+++ b/audit/checker.go
@@ -188,11 +188,15 @@
 	if !ok {
 		return
 	}
-	late := rc.At - told
+	sent := rc.At
+	if rc.Sent > 0 {
+		sent = rc.Sent
+	}
+	late := sent - told
 	r := &c.rules[Drains]
 	r.Nearest = max(r.Nearest, float64(late)/float64(max(1, c.limits.DrainGrace)))
 	if late > c.limits.DrainGrace+c.limits.Slack {
-		c.broken(Drains, "%s reached %s %v after it was told as draining or gone", rc.ID, rc.Box, late)
+		c.broken(Drains, "%s was sent to %s %v after its door was told that it drains or is gone", rc.ID, rc.Box, late)
 	}
 }
 
--- a/internal/cli/sim.go
+++ b/internal/cli/sim.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -103,6 +104,7 @@
 	if r.Workers <= 0 {
 		r.Workers = runtime.GOMAXPROCS(0)
 	}
+	debug.SetGCPercent(400) // runs are short and their garbage is all they leave
 	begun := time.Now()
 	var next, done, broken atomic.Uint64
 	next.Store(first)
--- a/internal/virtual/asker.go
+++ b/internal/virtual/asker.go
@@ -421,7 +421,7 @@
 		return
 	}
 	text := []string{"GET / HTTP/1.1\n\n", "POST /payments HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-		"\x16\x03\x01\x00\xa5\x01\x00\x00", "GET /bookings HTTP/1.1\r\nHost: h\r\nX-Api-Key: nobody\r\n\r\nGET", "POST /payments HTTP/1.1\r\nHost: h\r\nContent-Length: 999999999\r\n\r\nx",
+		"\x16\x03\x01\x00\xa5\x01\x00\x00", "GET /bookings HTTP/1.1\r\nHost: h\r\nX-Api-Key: nobody\r\n\r\nGET", fmt.Sprintf("POST /payments HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: 999999999\r\n\r\nx", s.cfg.Headers.Key, s.cfg.Studios[0].Keys[0]),
 		strings.Repeat("a", 9000)}[rng.IntN(6)]
 	gap := time.Duration(0)
 	if slow {
--- a/internal/virtual/door.go
+++ b/internal/virtual/door.go
@@ -416,6 +416,7 @@
 	}
 	v.m.Expect(ex)
 	v.ex = ex
+	v.e.began = v.d.s.now
 	v.out = append(v.out, ex.Wire...)
 	v.writable(nil)
 }
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -48,12 +48,13 @@
 	peer   *end
 	owner  owner
 	inbox  []byte
-	flight []segment // on their way to the peer
-	unread int       // bytes sent that the peer has not read
-	pumps  bool      // an event for flight is planned
-	full   bool      // a write was cut short
-	shut   bool      // closed from this side
-	over   bool      // the peer's close has been told
+	flight []segment     // on their way to the peer
+	unread int           // bytes sent that the peer has not read
+	pumps  bool          // an event for flight is planned
+	full   bool          // a write was cut short
+	shut   bool          // closed from this side
+	over   bool          // the peer's close has been told
+	began  time.Duration // when its owner last began to send a message
 }
 
 type segment struct {
@@ -170,6 +171,10 @@
 		if p.off || !p.from.alive {
 			continue
 		}
+		if h.accept == nil { // it listens no more
+			n.after(n.latency, func() { p.refuse(n) })
+			continue
+		}
 		a, b := &end{n: n, host: p.from, owner: p.owner}, &end{n: n, host: h}
 		a.peer, b.peer = b, a
 		for _, e := range [2]*end{a, b} {
--- a/internal/virtual/peers.go
+++ b/internal/virtual/peers.go
@@ -64,7 +64,7 @@
 	s.note(string(f.Kind) + " " + f.ID + " " + f.Box)
 	switch f.Kind {
 	case standin.Received:
-		s.check.Received(audit.Receipt{ID: f.ID, Box: f.Box, At: s.now, Door: s.receiving})
+		s.check.Received(audit.Receipt{ID: f.ID, Box: f.Box, At: s.now, Door: s.receiving, Sent: s.sent})
 	case standin.Ran:
 		s.check.Ran(audit.Run{ID: f.ID, Key: f.Key, Box: f.Box, At: s.now})
 	case standin.Fell:
@@ -117,7 +117,7 @@
 	for _, j := range done {
 		for _, c := range b.conns {
 			if c.c == j.Conn() {
-				b.s.receiving = c.door
+				b.s.receiving, b.s.sent = c.door, c.e.peer.began
 				c.c.Done(now, j)
 				c.flush()
 				break
@@ -131,7 +131,7 @@
 	if c.done {
 		return
 	}
-	c.b.s.receiving = c.door
+	c.b.s.receiving, c.b.s.sent = c.door, c.e.peer.began
 	c.c.Feed(c.b.s.now, c.e.read())
 	if !c.done {
 		c.flush()
--- a/internal/virtual/script.go
+++ b/internal/virtual/script.go
@@ -201,11 +201,11 @@
 			n++
 		}
 	}
-	s.WriteString(`boxes: {file: boxes.yaml, drain-grace: 300ms, cold: {share: 0.25, time: 8s}, overload: {factor: 4, time: 2s}}
+	s.WriteString(`boxes: {file: boxes.yaml, subscribe: true, drain-grace: 300ms, cold: {share: 0.25, time: 8s}, overload: {factor: 4, time: 2s}}
 load: {via: answers, fields: [{name: named_metrics.in_flight, is: in-flight}, {name: cpu_utilization, is: utilization}]}
 attempts: {most: 3}
 keeper: {address: "10.0.0.1:6379", timeout: 80ms, price: 0.02}
-limits: {hold-answer: 4KiB, write-timeout: 5s, idle-timeout: 20s, head-timeout: 5s, body-timeout: 5s, box-idle-timeout: 5s, stream-silence: 4s, lines-per-box: 64, connect-timeout: 600ms}
+limits: {hold-answer: 4KiB, write-timeout: 5s, idle-timeout: 20s, head-timeout: 5s, body-timeout: 5s, box-idle-timeout: 5s, stream-silence: 1500ms, lines-per-box: 64, connect-timeout: 600ms}
 `)
 	return config.Parse("gateway.yaml", []byte(s.String()), []byte(`openapi: 3.0.3
 info: {title: simulated, version: "1"}
--- a/internal/virtual/sim.go
+++ b/internal/virtual/sim.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -29,6 +30,7 @@
 	RuleLeak  = "nothing is left over"
 	RuleBack  = "service is back"
 	RuleWhose = "answers are one's own"
+	RuleCrash = "nothing crashes"
 )
 
 // Finding is a broken rule.
@@ -76,7 +78,8 @@
 	reached   map[string]int
 	list      string
 	keyTTL    time.Duration
-	receiving int // the door whose connection a box reads
+	receiving int           // the door whose connection a box reads,
+	sent      time.Duration // and when the request on it was sent
 	replaced  int
 	traffic   *rand.Rand
 	surge     map[string]float64
@@ -135,8 +138,7 @@
 	if opt.Until > 0 {
 		limit = min(limit, opt.Until)
 	}
-	for !s.stop && s.step(limit) {
-	}
+	s.play(limit)
 	if !s.stop && opt.Until == 0 {
 		s.now = limit
 		s.close()
@@ -152,6 +154,18 @@
 	return o, nil
 }
 
+// play makes events happen until a time. Code that panics has broken a rule like any other.
+func (s *Sim) play(limit time.Duration) {
+	defer func() {
+		if x := recover(); x != nil {
+			s.stop = true
+			s.find(RuleCrash, fmt.Sprintf("%v\n%s", x, debug.Stack()))
+		}
+	}()
+	for !s.stop && s.step(limit) {
+	}
+}
+
 func (s *Sim) reach(what string) { s.reached[what]++ }
 
 func (s *Sim) find(rule, what string) {
