--- a/audit/checker.go
+++ b/audit/checker.go
@@ -277,7 +277,9 @@
 }
 
 // DoorStopped notes that a door's process stands still, or goes on: what reaches it meanwhile it can't know of.
-func (c *Checker) DoorStopped(door int, at time.Duration, on bool) { c.down[door], c.isDown[door] = at, on }
+func (c *Checker) DoorStopped(door int, at time.Duration, on bool) {
+	c.down[door], c.isDown[door] = at, on
+}
 
 // Overdue notes that a try's client would have given up by now without an end; for the close of a run.
 func (c *Checker) Overdue(now time.Duration) {
