Traces of decisions: recorded by serve, read, explained and replayed by sandyard-trace

Framed files of CBOR under zstd with a CRC a frame, readable up to the last whole frame; a bounded buffer whose losses stand in the file; rotation and a cap on disk.

--- a/config/config.go
+++ b/config/config.go
@@ -83,6 +83,7 @@
 		SettleLater bool    `yaml:"settle-later"`
 	} `yaml:"units"`
 	Limits Limits `yaml:"limits"`
+	Trace  Trace  `yaml:"trace"`
 	Log    struct {
 		Format string `yaml:"format"`
 		Level  string `yaml:"level"`
@@ -157,6 +158,16 @@
 	ShutdownTimeout strict.Duration `yaml:"shutdown-timeout"`
 }
 
+// Trace says what is recorded of the decisions, and where.
+type Trace struct {
+	Mode     string      `yaml:"mode"`      // off, sampled or full
+	Folder   string      `yaml:"folder"`    // of the files
+	Share    float64     `yaml:"share"`     // of the requests, when sampled
+	FileSize strict.Size `yaml:"file-size"` // a file of this size is followed by another
+	Most     strict.Size `yaml:"most"`      // on disk; the oldest files go
+	Buffer   int         `yaml:"buffer"`    // steps that wait to be written
+}
+
 // Customer is a studio ready for use.
 type Customer struct {
 	Name          string
@@ -174,6 +185,7 @@
 	ClassOf  []choice.ClassID // by routes.Operation.Index
 	Names    []string         // of classes, by choice.ClassID
 	Loads    []string         // report names, in the order of Settings.LoadFields
+	Digest   string           // of the files that it was read from
 	Boxes    []Box            // as the file had them when it was read
 	byKey    map[[32]byte]*Customer
 	byName   map[string]*Customer
@@ -232,6 +244,7 @@
 	f.Keeper.Timeout, f.Keeper.Pending = strict.Duration(50*time.Millisecond), 4096
 	f.Units.Most = 1
 	f.Log.Format, f.Log.Level = "json", "info"
+	f.Trace = Trace{Mode: "off", Share: 0.05, FileSize: 64 << 20, Most: 1 << 30, Buffer: 1 << 16}
 	f.Limits = Limits{Connections: 10000, LinesPerBox: 256, Queue: 8192, Memory: 256 << 20, Body: 1 << 20, Head: 32 << 10,
 		Fields: 128, HoldAnswer: 64 << 10, HeadTimeout: strict.Duration(10 * time.Second), BodyTimeout: strict.Duration(30 * time.Second),
 		WriteTimeout: strict.Duration(15 * time.Second), IdleTimeout: strict.Duration(75 * time.Second),
@@ -248,10 +261,14 @@
 		return nil, diag.Problems{{File: path, Message: plainError(err)}}.Err()
 	}
 	c, d := parse(path, text)
+	sum := sha256.New()
+	sum.Write(text)
 	if c.OpenAPI != "" {
 		p := c.beside(c.OpenAPI)
 		if text, err := os.ReadFile(p); err != nil {
 			d.Say("openapi", "%s", plainError(err))
+		} else if _, err = sum.Write(text); err != nil {
+			add(d, err)
 		} else if c.Routes, err = routes.Compile(p, text); err != nil {
 			add(d, err)
 		}
@@ -264,9 +281,13 @@
 			add(d, err)
 		}
 	}
+	c.Digest = hex.EncodeToString(sum.Sum(nil)[:8])
 	return c.finish(d)
 }
 
+// TraceFolder is where traces are kept.
+func (c *Config) TraceFolder() string { return c.beside(c.Trace.Folder) }
+
 // Parse is Load without a file system: the texts of the three files are given.
 func Parse(path string, text, description, boxes []byte) (*Config, error) {
 	c, d := parse(path, text)
@@ -388,6 +409,20 @@
 	if !slices.Contains([]string{"debug", "info", "warn", "error"}, c.Log.Level) {
 		d.Say("log.level", "%q: expected debug, info, warn or error", c.Log.Level)
 	}
+	if t := c.Trace; !slices.Contains([]string{"off", "sampled", "full"}, t.Mode) {
+		d.Say("trace.mode", "%q: expected off, sampled or full", t.Mode)
+	} else if t.Mode != "off" {
+		if t.Folder == "" {
+			d.Say("trace.folder", "missing: the folder for the files")
+		}
+		if !(t.Share > 0) || t.Share > 1 {
+			d.Say("trace.share", "%g: expected a share above 0, up to 1", t.Share)
+		}
+		if t.FileSize < 64<<10 || t.Most < t.FileSize {
+			d.Say("trace.file-size", "expected 64KiB or more, and no more than trace.most")
+		}
+		atLeast(d, "trace.buffer", float64(t.Buffer), 64)
+	}
 	l := c.Limits
 	for name, n := range map[string]int{"connections": l.Connections, "lines-per-box": l.LinesPerBox, "queue": l.Queue,
 		"fields": l.Fields, "memory": int(l.Memory), "head": int(l.Head), "hold-answer": int(l.HoldAnswer),
--- a/door/core.go
+++ b/door/core.go
@@ -61,10 +61,22 @@
 	Strays                                                           uint64 // steps that the table of states dropped
 }
 
+// Step is an event that was handed to the decision module, and the actions it took.
+type Step struct {
+	At      time.Duration
+	Event   choice.Event // nil: the actions are those of New
+	Actions []choice.Action
+	Op      int      // of an arrival: the position of its operation, plus 1
+	Names   []string // of a list: the names of its boxes, in its order
+}
+
 // Core is the decision loop: one owner, no I/O. Every method that takes a time may add wishes; the owner fetches
 // them with Wishes and carries them out in order before it tells anything that follows from them.
 type Core struct {
 	Stats Stats
+	// Record, if set, is given each step of the decision module, in order, by the core's owner. It must not block, nor
+	// change what it is given.
+	Record func(Step)
 
 	set        *Shared
 	gw         *choice.Gateway
@@ -80,8 +92,10 @@
 	byName     map[string]*box
 	keeper     keeper
 	wishes     []Wish
-	events     []choice.Event // that follow from actions
-	owed       int            // exchanges without a final answer, or whose answer flows
+	first      []choice.Action // the module's
+	names      []string        // of the list that is handed over
+	events     []choice.Event  // that follow from actions
+	owed       int             // exchanges without a final answer, or whose answer flows
 	over       bool
 }
 
@@ -93,6 +107,7 @@
 	}
 	c := &Core{set: set, gw: gw, rng: rand.New(rand.NewPCG(seed, 1)), now: now,
 		requests: map[choice.RequestID]*Exchange{}, boxes: map[choice.ServerID]*box{}, byName: map[string]*box{}}
+	c.first = actions
 	c.carryOut(actions)
 	if set.Config.Keeper.Address != "" {
 		c.dialKeeper()
@@ -145,15 +160,27 @@
 		if c.events = c.events[1:]; len(c.events) == 0 {
 			c.events = nil
 		}
-		c.carryOut(c.gw.Handle(e, c.now))
+		c.hand(e, 0)
 	}
 }
 
 func (c *Core) tell(e choice.Event) {
-	c.carryOut(c.gw.Handle(e, c.now))
+	c.hand(e, 0)
 	c.settle()
 }
 
+// hand gives an event to the module and carries out its actions.
+func (c *Core) hand(e choice.Event, op int) {
+	actions := c.gw.Handle(e, c.now)
+	if c.Record != nil {
+		c.Record(Step{c.now, e, actions, op, c.names})
+	}
+	c.carryOut(actions)
+}
+
+// First is the module's first step, for those who set Record later.
+func (c *Core) First(began time.Duration) Step { return Step{At: began, Actions: c.first} }
+
 func (c *Core) carryOut(actions []choice.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -196,8 +223,9 @@
 	c.owed++
 	c.Stats.Arrived++
 	left := c.due(ex) - c.now
-	c.tell(choice.Arrived{Request: ex.ID, Class: ex.Class, Plan: ex.Studio.Plan, Customer: ex.Studio.Name,
-		Left: max(0, left), Units: ex.Units, Spread: ex.Studio.Spread, First: ex.Studio.First, Retry: ex.Retry})
+	c.hand(choice.Arrived{Request: ex.ID, Class: ex.Class, Plan: ex.Studio.Plan, Customer: ex.Studio.Name,
+		Left: max(0, left), Units: ex.Units, Spread: ex.Studio.Spread, First: ex.Studio.First, Retry: ex.Retry}, ex.Op.Index+1)
+	c.settle()
 }
 
 // due is when an exchange must be answered.
@@ -681,7 +709,15 @@
 			c.unlist(b)
 		}
 	}
-	c.tell(e)
+	c.names = nil
+	if c.Record != nil {
+		for i := range boxes {
+			c.names = append(c.names, boxes[i].Name)
+		}
+	}
+	c.hand(e, 0)
+	c.names = nil
+	c.settle()
 }
 
 // retire closes a box's idle lines.
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/alecthomas/kong"
 
 	"sandyard/config"
+	"sandyard/identity"
 	"sandyard/internal/diag"
 	"sandyard/internal/sockets"
 	"sandyard/standin"
@@ -48,6 +49,9 @@
 	switch err := ctx.Run(); {
 	case err == nil:
 		return Fine
+	case errors.As(err, &identity.Mismatch{}):
+		fmt.Fprintln(errs, name+":", err)
+		return OtherCore
 	case errors.As(err, &diag.Problems{}):
 		fmt.Fprintln(errs, err)
 		return Usage
@@ -83,7 +87,7 @@
 			}
 		}
 	}
-	_, err := fmt.Fprintf(c.Out, "sandyard %s %s\n", v, goes)
+	_, err := fmt.Fprintf(c.Out, "sandyard %s %s\ncore %s\n", v, goes, identity.Core())
 	return err
 }
 
--- /dev/null
+++ b/internal/cli/trace.go
@@ -0,0 +1,274 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"sandyard/choice"
+	"sandyard/identity"
+	"sandyard/trace"
+)
+
+// OtherCore is the exit status of a tool whose core is not that of what it was given.
+const OtherCore = 3
+
+// Trace runs the sandyard-trace program.
+func Trace(args []string, out, errs io.Writer) int {
+	var g struct {
+		Show    traceShow    `cmd:"" help:"List requests and what became of them."`
+		Follow  traceFollow  `cmd:"" help:"Follow one request through its attempts and keeper calls."`
+		Explain traceExplain `cmd:"" help:"Say in a paragraph why a request ended as it did."`
+		Replay  traceReplay  `cmd:"" help:"Feed the recorded events to this program's core and compare what it does."`
+		Info    traceInfo    `cmd:"" help:"Tell who recorded, what, and whether the files are whole."`
+		Version version      `cmd:"" help:"Print the version."`
+	}
+	return program("sandyard-trace", "What a front door decided, from its trace files.", &g, args, out, errs, &Console{out, errs})
+}
+
+type traceFiles struct {
+	Files []string `arg:"" type:"existingfile" help:"Trace files of one front door, in the order of their parts."`
+}
+
+// each calls f with every item of the files; a file that was cut off by a kill is read to its last whole frame.
+func (t traceFiles) each(c *Console, begin func(trace.Head) error, f func(trace.Head, trace.Item) error) error {
+	for _, name := range t.Files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return err
+		}
+		r, err := trace.NewReader(text)
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		err = func() error {
+			defer r.Close()
+			if begin != nil {
+				if err := begin(r.Head); err != nil {
+					return fmt.Errorf("%s: %w", name, err)
+				}
+			}
+			for {
+				items, err := r.Next()
+				if errors.Is(err, trace.ErrCut) {
+					fmt.Fprintf(c.Errs, "%s: cut off; read up to byte %d\n", name, r.Offset())
+					return nil
+				}
+				if err != nil {
+					return fmt.Errorf("%s: %w", name, err)
+				}
+				if items == nil {
+					return nil
+				}
+				for _, it := range items {
+					if err := f(r.Head, it); err != nil {
+						return fmt.Errorf("%s: %w", name, err)
+					}
+				}
+			}
+		}()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t traceFiles) stories(c *Console) (trace.Head, *trace.Stories, error) {
+	s := trace.NewStories()
+	var head trace.Head
+	err := t.each(c, func(h trace.Head) error { head = h; return nil }, func(_ trace.Head, it trace.Item) error { s.Add(it); return nil })
+	if s.Dropped > 0 {
+		fmt.Fprintf(c.Errs, "%d steps were dropped while recording and are missing here\n", s.Dropped)
+	}
+	return head, s, err
+}
+
+type traceShow struct {
+	traceFiles
+	Studio  string        `help:"Only this studio's."`
+	Class   string        `help:"Only this class's."`
+	Box     string        `help:"Only those with an attempt at this box."`
+	Outcome string        `help:"Only those that ended so: served, refused, failed, left, open."`
+	From    time.Duration `help:"Only from this time after the first."`
+	To      time.Duration `help:"Only up to this time after the first; 0 for all."`
+	Limit   int           `default:"1000" help:"At most so many."`
+	JSON    bool          `help:"Print lines of JSON."`
+}
+
+func name(list []string, i int) string {
+	if i >= 0 && i < len(list) {
+		return list[i]
+	}
+	return fmt.Sprint(i)
+}
+
+func (t traceShow) Run(c *Console) error {
+	head, s, err := t.stories(c)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	if !t.JSON {
+		fmt.Fprintln(w, "request\tat\tstudio\tplan\tclass\toperation\tunits\tattempts\toutcome\tms")
+	}
+	enc := json.NewEncoder(c.Out)
+	shown, matched := 0, 0
+	var first time.Duration
+	for i, st := range s.All {
+		if i == 0 {
+			first = st.At
+		}
+		at := st.At - first
+		class := name(head.Classes, int(st.Class))
+		if t.Studio != "" && st.Customer != t.Studio || t.Class != "" && class != t.Class || t.Outcome != "" && string(st.Outcome) != t.Outcome ||
+			at < t.From || t.To > 0 && at > t.To || t.Box != "" && !visited(s, st, t.Box) {
+			continue
+		}
+		if matched++; shown >= t.Limit {
+			continue
+		}
+		shown++
+		if t.JSON {
+			if err := enc.Encode(st); err != nil {
+				return err
+			}
+			continue
+		}
+		outcome := string(st.Outcome)
+		if st.Outcome == trace.Refused && len(st.Attempts) == 0 {
+			outcome += map[choice.Why]string{choice.OverQuota: " (quota)", choice.NoRoom: " (no room)"}[st.Why]
+		}
+		fmt.Fprintf(w, "%d\t%.3fs\t%q\t%s\t%s\t%s\t%g\t%d\t%s\t%.1f\n", st.Request, at.Seconds(), st.Customer, name(head.Plans, int(st.Plan)), class,
+			name(head.Ops, st.Op-1), st.Units, len(st.Attempts), outcome, float64((st.Ended-st.At).Microseconds())/1000)
+	}
+	w.Flush()
+	if !t.JSON {
+		fmt.Fprintf(c.Out, "%d of %d requests", shown, len(s.All))
+		if matched > shown {
+			fmt.Fprintf(c.Out, "; %d more match (--limit)", matched-shown)
+		}
+		fmt.Fprintln(c.Out)
+	}
+	return nil
+}
+
+func visited(s *trace.Stories, st *trace.Story, box string) bool {
+	for _, a := range st.Attempts {
+		if s.Names[a.Server] == box {
+			return true
+		}
+	}
+	return false
+}
+
+type traceOne struct {
+	Request uint64 `arg:"" help:"The request's number, as show has it."`
+	traceFiles
+}
+
+func (t traceOne) find(c *Console) (trace.Head, *trace.Stories, *trace.Story, error) {
+	head, s, err := t.stories(c)
+	if err != nil {
+		return head, nil, nil, err
+	}
+	st := s.Find(choice.RequestID(t.Request))
+	if st == nil {
+		return head, nil, nil, fmt.Errorf("the trace has no request %d", t.Request)
+	}
+	return head, s, st, nil
+}
+
+type traceFollow struct{ traceOne }
+
+func (t traceFollow) Run(c *Console) error {
+	head, s, st, err := t.find(c)
+	if err != nil {
+		return err
+	}
+	at := func(d time.Duration) string { return fmt.Sprintf("%+10.3f ms", float64((d-st.At).Microseconds())/1000) }
+	fmt.Fprintf(c.Out, "%s  arrived: %q, plan %s, class %s, %g units, %v left\n", at(st.At), st.Customer, name(head.Plans, int(st.Plan)),
+		name(head.Classes, int(st.Class)), st.Units, st.Left)
+	if k := st.Call; k != nil {
+		fmt.Fprintf(c.Out, "%s  keeper asked: %q + %g\n", at(k.Asked), k.Name, k.Amount)
+		if k.Heard > 0 {
+			fmt.Fprintf(c.Out, "%s  keeper: %s, total %g\n", at(k.Heard), trace.OutcomeText(k.How), k.Total)
+		}
+	}
+	for i, a := range st.Attempts {
+		fmt.Fprintf(c.Out, "%s  attempt %d sent to %s\n", at(a.Sent), i+1, s.Names[a.Server])
+		if a.Ended > 0 {
+			fmt.Fprintf(c.Out, "%s  attempt %d: %s\n", at(a.Ended), i+1, trace.OutcomeText(a.Outcome))
+		}
+	}
+	if st.Ended > 0 {
+		fmt.Fprintf(c.Out, "%s  %s\n", at(st.Ended), st.Outcome)
+	}
+	return nil
+}
+
+type traceExplain struct{ traceOne }
+
+func (t traceExplain) Run(c *Console) error {
+	head, s, st, err := t.find(c)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(c.Out, s.Explain(head, st))
+	return err
+}
+
+type traceReplay struct{ traceFiles }
+
+func (t traceReplay) Run(c *Console) error {
+	var r *trace.Replay
+	next := 0
+	begun := time.Now()
+	err := t.each(c, func(h trace.Head) error {
+		if err := identity.Check(h.Core, "the trace"); err != nil {
+			return err
+		}
+		if r == nil {
+			var err error
+			if r, err = trace.NewReplay(h); err != nil {
+				return err
+			}
+		} else if h.Part != next {
+			return fmt.Errorf("part %d follows part %d", h.Part, next-1)
+		}
+		next = h.Part + 1
+		return nil
+	}, func(h trace.Head, it trace.Item) error { return r.Step(h, it) })
+	if err != nil {
+		return err
+	}
+	took := time.Since(begun).Seconds()
+	fmt.Fprintf(c.Out, "%d steps replayed, %d differ, %d missing; %.0f steps a second\n", r.Steps, r.Differ, r.Dropped, float64(r.Steps)/took)
+	if r.Differ > 0 {
+		fmt.Fprintf(c.Out, "first at %v: %s\n", r.FirstAt, r.First)
+		if r.Uncertain == r.Differ {
+			fmt.Fprintln(c.Out, "all of them stand behind steps that the trace lacks, which may be why; what followed can't be told")
+			return nil
+		}
+		return fmt.Errorf("the core decides otherwise than the trace says")
+	}
+	return nil
+}
+
+type traceInfo struct{ traceFiles }
+
+func (t traceInfo) Run(c *Console) error {
+	return t.each(c, func(h trace.Head) error {
+		mine := "as this program's"
+		if h.Core != identity.Core() {
+			mine = "this program's is " + identity.Core()
+		}
+		_, err := fmt.Fprintf(c.Out, "door %d, part %d, core %s (%s), configuration %s, share %g, %d plans, %d operations, from %s\n", h.Door, h.Part, h.Core, mine, h.Config,
+			h.Share, len(h.Plans), len(h.Ops), time.Unix(0, h.Origin).Add(h.Began).UTC().Format(time.RFC3339))
+		return err
+	}, func(trace.Head, trace.Item) error { return nil })
+}
--- /dev/null
+++ b/internal/sockets/recorder.go
@@ -0,0 +1,270 @@
+package sockets
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"sandyard/choice"
+	"sandyard/config"
+	"sandyard/door"
+	"sandyard/identity"
+	"sandyard/trace"
+)
+
+const (
+	frameItems = 2048                   // steps in a frame at most
+	frameEvery = 200 * time.Millisecond // until what there is is written
+)
+
+// recorder writes a front door's trace. The core's goroutine only appends to a bounded buffer; steps that find it full
+// are dropped and counted, and the count stands in the file where they are missing. A disk that is full, or any other
+// error, ends the recording and not the front door.
+type recorder struct {
+	s     *Server
+	cfg   config.Trace
+	dir   string
+	head  trace.Head
+	stop  chan struct{}
+	ended chan struct{}
+
+	mu      sync.Mutex
+	steps   []door.Step
+	dropped uint64
+	over    bool
+
+	// of the writing goroutine
+	w     *trace.Writer
+	file  *os.File
+	size  int
+	names map[choice.ServerID]string
+	parts []string
+	told  uint64
+}
+
+func (s *Server) startRecorder(seed uint64) (*recorder, error) {
+	t := s.cfg.Trace
+	if t.Mode == "off" {
+		return nil, nil
+	}
+	dir := s.cfg.TraceFolder()
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	w, err := trace.NewWriter()
+	if err != nil {
+		return nil, err
+	}
+	r := &recorder{s: s, cfg: t, dir: dir, w: w, stop: make(chan struct{}), ended: make(chan struct{}), names: map[choice.ServerID]string{}}
+	r.head = trace.Head{Core: identity.Core(), Config: s.cfg.Digest, Door: s.cfg.Door.Number, Seed: seed, Began: door.Start,
+		Origin: s.start.Add(-door.Start).UnixNano(), Settings: s.cfg.Settings, Classes: s.cfg.Names, Share: 1}
+	if t.Mode == "sampled" {
+		r.head.Share = t.Share
+	}
+	for _, p := range s.cfg.Plans {
+		r.head.Plans = append(r.head.Plans, p.Name)
+	}
+	for _, op := range s.cfg.Routes.Operations {
+		r.head.Ops = append(r.head.Ops, op.ID)
+	}
+	if err := r.next(); err != nil {
+		return nil, err
+	}
+	r.steps = append(r.steps, s.core.First(door.Start))
+	s.core.Record = r.record
+	return r, nil
+}
+
+// begin starts the writing; close ends it.
+func (r *recorder) begin() {
+	if r != nil {
+		go func() { // its owner waits for it in close
+			defer close(r.ended)
+			r.run()
+		}()
+	}
+}
+
+// request is the one that a step is about, 0 if none.
+func request(e choice.Event) choice.RequestID {
+	switch e := e.(type) {
+	case choice.Arrived:
+		return e.Request
+	case choice.ClientLeft:
+		return e.Request
+	case choice.AttemptEnded:
+		return e.Request
+	case choice.StreamStarted:
+		return e.Request
+	}
+	return 0
+}
+
+// record takes a step in; the core's goroutine calls it.
+func (r *recorder) record(st door.Step) {
+	if r.head.Share < 1 { // a sample is of requests, drawn by their number; what concerns no one request is left out
+		id := uint64(request(st.Event))
+		if id == 0 || float64(id*0x9E3779B97F4A7C15>>11)/(1<<53) >= r.head.Share {
+			return
+		}
+	}
+	r.mu.Lock()
+	switch {
+	case r.over:
+	case len(r.steps) >= r.cfg.Buffer:
+		r.dropped++
+	default:
+		r.steps = append(r.steps, st)
+	}
+	r.mu.Unlock()
+}
+
+func (r *recorder) run() {
+	t := time.NewTicker(frameEvery)
+	defer t.Stop()
+	for {
+		last := false
+		select {
+		case <-t.C:
+		case <-r.stop:
+			last = true
+		}
+		r.mu.Lock()
+		steps, dropped := r.steps, r.dropped
+		r.steps, r.dropped = nil, 0
+		r.mu.Unlock()
+		if err := r.write(steps, dropped); err != nil {
+			r.s.log.Error("recording has ended; the front door goes on", "error", err)
+			r.mu.Lock()
+			r.over, r.steps = true, nil
+			r.mu.Unlock()
+			last = true
+		}
+		if last {
+			r.file.Close()
+			return
+		}
+	}
+}
+
+func (r *recorder) write(steps []door.Step, dropped uint64) error {
+	var items []trace.Item
+	flush := func() error {
+		if len(items) == 0 {
+			return nil
+		}
+		b, err := r.w.Frame(items)
+		if err != nil {
+			return err
+		}
+		items = items[:0]
+		if r.size+len(b) > int(r.cfg.FileSize) {
+			r.head.Part++
+			r.file.Close()
+			if err := r.next(); err != nil {
+				return err
+			}
+		}
+		n, err := r.file.Write(b)
+		r.size += n
+		return err
+	}
+	for i := range steps {
+		st := &steps[i]
+		if list, ok := st.Event.(choice.ServersChanged); ok {
+			for k, name := range st.Names {
+				if id := list.Entries[k].Server; r.names[id] != name {
+					r.names[id] = name
+					items = append(items, trace.Item{At: st.At, Box: &trace.Box{Server: id, Name: name}})
+				}
+			}
+		}
+		items = append(items, trace.Item{At: st.At, Event: trace.FromEvent(st.Event), Actions: trace.FromActions(st.Actions), Op: st.Op,
+			First: st.Event == nil})
+		if len(items) >= frameItems {
+			if err := flush(); err != nil {
+				return err
+			}
+		}
+	}
+	if dropped > 0 { // they were dropped behind those that had filled the buffer
+		r.told += dropped
+		var at time.Duration
+		if len(steps) > 0 {
+			at = steps[len(steps)-1].At
+		}
+		items = append(items, trace.Item{At: at, Dropped: dropped})
+		r.s.log.Warn("steps dropped from the trace", "steps", dropped, "in_all", r.told)
+	}
+	return flush()
+}
+
+// next begins a file, and removes the oldest of this folder's while there are more bytes than allowed.
+func (r *recorder) next() error {
+	name := fmt.Sprintf("door-%d-%s-%03d.trace", r.head.Door, r.s.start.UTC().Format("20060102T150405.000"), r.head.Part)
+	f, err := os.OpenFile(filepath.Join(r.dir, name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	b, err := r.w.Begin(r.head)
+	if err == nil {
+		_, err = f.Write(b)
+	}
+	if err != nil {
+		f.Close()
+		return err
+	}
+	r.file, r.size = f, len(b)
+	for id, name := range r.names { // each file names its boxes
+		b, err := r.w.Frame([]trace.Item{{Box: &trace.Box{Server: id, Name: name}}})
+		if err != nil {
+			return err
+		}
+		if _, err := f.Write(b); err != nil {
+			return err
+		}
+		r.size += len(b)
+	}
+	return r.prune()
+}
+
+func (r *recorder) prune() error {
+	entries, err := os.ReadDir(r.dir)
+	if err != nil {
+		return err
+	}
+	var names []string
+	sizes, total := map[string]int64{}, int64(r.cfg.FileSize) // for the one that is begun
+	for _, e := range entries {
+		if info, err := e.Info(); err == nil && strings.HasSuffix(e.Name(), ".trace") && filepath.Join(r.dir, e.Name()) != r.file.Name() {
+			names = append(names, e.Name())
+			sizes[e.Name()] = info.Size()
+			total += info.Size()
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int { // by time of start and part, whatever door
+		_, x, _ := strings.Cut(strings.TrimPrefix(a, "door-"), "-")
+		_, y, _ := strings.Cut(strings.TrimPrefix(b, "door-"), "-")
+		return strings.Compare(x, y)
+	})
+	for len(names) > 0 && total > int64(r.cfg.Most) {
+		if err := os.Remove(filepath.Join(r.dir, names[0])); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
+		total -= sizes[names[0]]
+		names = names[1:]
+	}
+	return nil
+}
+
+func (r *recorder) close() {
+	if r != nil {
+		close(r.stop)
+		<-r.ended
+	}
+}
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -30,6 +30,7 @@
 	end    context.CancelFunc
 	conns  errgroup.Group // goroutines of connections
 	keeper *keeperConn
+	rec    *recorder // nil: nothing is recorded
 	debug  bool
 
 	mu     sync.Mutex
@@ -97,6 +98,11 @@
 		return nil, err
 	}
 	s.ln = ln.(*net.TCPListener)
+	s.rec, err = s.startRecorder(opt.Seed)
+	if err != nil {
+		ln.Close()
+		return nil, fmt.Errorf("trace: %w", err)
+	}
 	s.hard, s.end = context.WithCancel(context.Background())
 	return s, nil
 }
@@ -130,6 +136,8 @@
 func (s *Server) Serve(ctx context.Context) error {
 	defer s.end()
 	defer s.ln.Close()
+	s.rec.begin()
+	defer s.rec.close()
 	g, gctx := errgroup.WithContext(ctx)
 	stopLoop := make(chan struct{})
 	watch, err := s.watchList()
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -37,6 +37,7 @@
 	Plans    []string        `cbor:"9,keyasint"`
 	Ops      []string        `cbor:"10,keyasint"` // operation ids
 	Part     int             `cbor:"11,keyasint"` // number of the file in its series; only part 0 begins at Began
+	Share    float64         `cbor:"12,keyasint"` // of the requests that are recorded; 1: everything
 }
 
 // Item is one step of the module, or a note about it.
