--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,123 @@
+package cli
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sandyard/choice"
+	"sandyard/identity"
+	"sandyard/trace"
+)
+
+func run(f func([]string, *bytes.Buffer, *bytes.Buffer) int, args ...string) (int, string, string) {
+	var out, errs bytes.Buffer
+	return f(args, &out, &errs), out.String(), errs.String()
+}
+
+func gateway(a []string, o, e *bytes.Buffer) int { return Gateway(a, o, e) }
+func tracer(a []string, o, e *bytes.Buffer) int  { return Trace(a, o, e) }
+func sim(a []string, o, e *bytes.Buffer) int     { return Sim(a, o, e) }
+
+func TestCheck(t *testing.T) {
+	if code, out, _ := run(gateway, "check", "--config", "../../examples/kilns/gateway.yaml"); code != Fine || !strings.Contains(out, "good") {
+		t.Errorf("%d %s", code, out)
+	}
+	bad := filepath.Join(t.TempDir(), "g.yaml")
+	os.WriteFile(bad, []byte("listen: 1\nplans: [{rate: 3}]\n"), 0o600)
+	if code, _, errs := run(gateway, "check", "--config", bad); code != Usage || !strings.Contains(errs, "g.yaml:2") {
+		t.Errorf("%d %s", code, errs)
+	}
+	if code, _, _ := run(gateway, "nonsense"); code != Usage {
+		t.Error(code)
+	}
+}
+
+func traceFile(t *testing.T, core string) string {
+	h := trace.Head{Core: core, Share: 1, Plans: []string{"hobby"}, Classes: []string{"c"}, Ops: []string{"book"},
+		Settings: choice.Settings{Classes: []choice.Class{{Aim: time.Second, Deadline: time.Second}}, Plans: []choice.Plan{{Rate: 1, Burst: 1}}}}
+	gw, first, err := choice.New(h.Settings, 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	items := []trace.Item{{First: true, Actions: trace.FromActions(first)}}
+	for i, e := range []choice.Event{choice.ServersChanged{Full: true, Entries: []choice.ServerEntry{{Server: 1}}},
+		choice.Arrived{Request: 1, Customer: "a", Left: time.Second, Units: 1, Spread: 1}, choice.Arrived{Request: 2, Customer: "a", Left: time.Second, Units: 1, Spread: 1}} {
+		at := time.Duration(i+1) * time.Millisecond
+		items = append(items, trace.Item{At: at, Event: trace.FromEvent(e), Actions: trace.FromActions(gw.Handle(e, at)), Op: 1})
+	}
+	w, err := trace.NewWriter()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := w.Begin(h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := w.Frame(items)
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := filepath.Join(t.TempDir(), "x.trace")
+	if err := os.WriteFile(name, append(b, f...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
+func TestTraceTool(t *testing.T) {
+	f := traceFile(t, identity.Core())
+	if code, out, errs := run(tracer, "replay", f); code != Fine || !strings.Contains(out, "4 steps replayed, 0 differ") {
+		t.Errorf("%d %s %s", code, out, errs)
+	}
+	if code, out, _ := run(tracer, "show", "--outcome", "refused", f); code != Fine || !strings.Contains(out, "refused (quota)") || !strings.Contains(out, "1 of 2 requests") {
+		t.Errorf("%d %s", code, out)
+	}
+	if code, out, _ := run(tracer, "explain", "2", f); code != Fine || !strings.Contains(out, "beyond what the plan allows") {
+		t.Errorf("%d %s", code, out)
+	}
+	if code, _, _ := run(tracer, "follow", "3", f); code != Failure {
+		t.Error("a request that is not there")
+	}
+}
+
+// TestOtherCores: a tool whose core is another says so and gives no verdict, whichever of the two is older.
+func TestOtherCores(t *testing.T) {
+	if code, out, errs := run(tracer, "replay", traceFile(t, "0123456789abcdef")); code != OtherCore || out != "" || !strings.Contains(errs, "verdicts could differ") {
+		t.Errorf("%d %s %s", code, out, errs)
+	}
+	exe := filepath.Join(t.TempDir(), "other")
+	if b, err := exec.Command("go", "build", "-ldflags", "-X sandyard/identity.other=x", "-o", exe, "sandyard/cmd/sandyard-trace").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, b)
+	}
+	b, err := exec.Command(exe, "replay", traceFile(t, identity.Core())).CombinedOutput()
+	var ee *exec.ExitError
+	if !errors.As(err, &ee) || ee.ExitCode() != OtherCore || !strings.Contains(string(b), identity.Core()) {
+		t.Errorf("%v %s", err, b)
+	}
+}
+
+func TestSimTool(t *testing.T) {
+	if code, out, errs := run(sim, "run", "--seeds", "1-5", "--quiet"); code != Fine || !strings.Contains(out, "5 seeds, 0 broken") || !strings.Contains(out, "not reached:") {
+		t.Errorf("%d %s %s", code, out, errs)
+	}
+	_, a, _ := run(sim, "digest", "3")
+	if _, b, _ := run(sim, "digest", "3"); a != b || len(a) != 17 {
+		t.Errorf("%q %q", a, b)
+	}
+	_, script, _ := run(sim, "generate", "3")
+	f := filepath.Join(t.TempDir(), "s.yaml")
+	os.WriteFile(f, []byte(script), 0o600)
+	if _, b, _ := run(sim, "digest", f); a != b {
+		t.Errorf("the script of a seed is another run: %q %q", a, b)
+	}
+	os.WriteFile(f, []byte("version: 9\n"), 0o600)
+	if code, _, errs := run(sim, "replay", f); code != Usage || !strings.Contains(errs, "version") {
+		t.Errorf("%d %s", code, errs)
+	}
+}
--- a/internal/virtual/door.go
+++ b/internal/virtual/door.go
@@ -68,6 +68,10 @@
 		panic(err) // the configuration was checked
 	}
 	d.core = core
+	if r := d.s.opt.Record; r != nil {
+		core.Record = r(d.number, d.cfg, seed)
+		core.Record(core.First(d.now()))
+	}
 	d.host.alive, d.host.paused, d.host.deaf = true, false, false
 	d.host.accept = d.accept
 	d.carryOut()
--- a/internal/virtual/sim.go
+++ b/internal/virtual/sim.go
@@ -12,6 +12,7 @@
 	"sandyard/audit"
 	"sandyard/choice"
 	"sandyard/config"
+	"sandyard/door"
 	"sandyard/standin"
 	"sandyard/trouble"
 )
@@ -55,11 +56,13 @@
 
 // Options say how to run a script.
 type Options struct {
-	Log       func(at time.Duration, what string) // every event, in order; nil for none
-	Until     time.Duration                       // 0: to the end
-	GoOn      bool                                // after the first broken rule
-	Config    *config.Config                      // nil: Deployment
-	Forgetful bool                                // a planted mistake: a restarted door takes its split of a ceiling for unspent
+	Log    func(at time.Duration, what string) // every event, in order; nil for none
+	Until  time.Duration                       // 0: to the end
+	GoOn   bool                                // after the first broken rule
+	Config *config.Config                      // nil: Deployment
+	// Record, if set, is told of each front door's start and gives what takes its steps.
+	Record    func(number int, cfg *config.Config, seed uint64) func(door.Step)
+	Forgetful bool // a planted mistake: a restarted door takes its split of a ceiling for unspent
 }
 
 // Sim is a run under way.
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -184,7 +184,8 @@
 	if m.enc, err = (cbor.EncOptions{Sort: cbor.SortNone}).EncMode(); err != nil {
 		panic(err)
 	}
-	if m.dec, err = (cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}).DecMode(); err != nil {
+	if m.dec, err = (cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		UTF8: cbor.UTF8DecodeInvalid}) // names of studios are whatever the configuration has.DecMode(); err != nil {
 		panic(err)
 	}
 	return m
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,157 @@
+package trace
+
+import (
+	"errors"
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sandyard/choice"
+)
+
+func items() []Item {
+	return []Item{
+		{At: 1, First: true, Actions: FromActions([]choice.Action{choice.SetTimer{At: 5, Timer: choice.Timer{Kind: choice.TickTimer}}, choice.Subscribe{}})},
+		{At: 2, Event: FromEvent(choice.ServersChanged{Full: true, Entries: []choice.ServerEntry{{Server: 1, Zone: 2, State: choice.Draining, Weight: 1.5, Started: 7}}})},
+		{At: 3, Event: FromEvent(choice.Arrived{Request: 9, Customer: "a\x00\xff\u202e", Units: 0.1, Left: time.Second}), Op: 3,
+			Actions: FromActions([]choice.Action{choice.Send{Request: 9, Server: 1, Timeout: 3}, choice.Count{Name: "n", Amount: -1e300, TTL: 4}})},
+		{At: 4, Event: FromEvent(choice.AttemptEnded{Request: 9, Outcome: choice.Reset, Load: []float64{1, 2}}), Actions: FromActions([]choice.Action{
+			choice.Cancel{Request: 9}, choice.Refuse{Request: 9, Why: choice.OverQuota}, choice.Fail{Request: 9}, choice.Probe{Server: 4}})},
+		{At: 5, Event: FromEvent(choice.Counted{Name: "n", Outcome: choice.TimedOut, Total: 3})},
+		{At: 6, Event: FromEvent(choice.TimerFired{Timer: choice.Timer{Kind: choice.DeadlineTimer, Request: 9}})},
+		{At: 7, Event: FromEvent(choice.ClientLeft{Request: 9})}, {At: 8, Event: FromEvent(choice.StreamStarted{Request: 9, Attempt: 1, Server: 2})},
+		{At: 9, Event: FromEvent(choice.ProbeEnded{Server: 2})}, {At: 10, Dropped: 7}, {At: 11, Box: &Box{4, "box-4"}},
+	}
+}
+
+func file(t *testing.T) []byte {
+	w, err := NewWriter()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := w.Begin(Head{Core: "c", Door: 2, Settings: choice.Settings{Gateways: 3, Classes: []choice.Class{{Aim: time.Second}}}, Share: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range items() {
+		f, err := w.Frame(items()[i : i+1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		b = append(b, f...)
+	}
+	return b
+}
+
+func read(b []byte) (got []Item, err error) {
+	r, err := NewReader(b)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	for {
+		is, err := r.Next()
+		if err != nil || is == nil {
+			return got, err
+		}
+		got = append(got, is...)
+	}
+}
+
+// TestNothingIsLost: every kind of event and action comes back as it was.
+func TestNothingIsLost(t *testing.T) {
+	got, err := read(file(t))
+	if err != nil || len(got) != len(items()) {
+		t.Fatalf("%d items, %v", len(got), err)
+	}
+	for i, want := range items() {
+		if g := got[i].Event.Choice(); !reflect.DeepEqual(g, want.Event.Choice()) {
+			t.Errorf("item %d: %+v, want %+v", i, g, want.Event.Choice())
+		}
+		if len(got[i].Actions) != len(want.Actions) {
+			t.Errorf("item %d: %d actions", i, len(got[i].Actions))
+			continue
+		}
+		for k := range want.Actions {
+			if g := got[i].Actions[k].Choice(); g == nil || !reflect.DeepEqual(g, want.Actions[k].Choice()) {
+				t.Errorf("item %d, action %d: %+v", i, k, g)
+			}
+		}
+	}
+	x, err := modes.enc.Marshal(FromEvent(choice.AttemptEnded{Load: []float64{math.NaN()}}))
+	var e Event
+	if err != nil || modes.dec.Unmarshal(x, &e) != nil || !math.IsNaN(e.Ended.Load[0]) {
+		t.Error("a figure that is none does not come back as none")
+	}
+}
+
+// TestCutAnywhere: a file that ends anywhere is read up to its last whole frame, and says that it was cut.
+func TestCutAnywhere(t *testing.T) {
+	whole := file(t)
+	last := -1
+	for n := len(Format); n <= len(whole); n++ {
+		got, err := read(whole[:n])
+		switch {
+		case err != nil && !errors.Is(err, ErrCut):
+			t.Fatalf("%d bytes: %v", n, err)
+		case len(got) < last:
+			t.Fatalf("%d bytes: %d items, with fewer bytes %d", n, len(got), last)
+		}
+		last = len(got)
+	}
+	if last != len(items()) {
+		t.Errorf("%d items at the end", last)
+	}
+}
+
+// TestBrokenBytes: a changed byte is found, or changes nothing; it never panics.
+func TestBrokenBytes(t *testing.T) {
+	whole := file(t)
+	rapid.Check(t, func(t *rapid.T) {
+		b := append([]byte(nil), whole...)
+		at := rapid.IntRange(0, len(b)-1).Draw(t, "at")
+		b[at] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
+		got, err := read(b)
+		if err == nil && len(got) == len(items()) {
+			t.Fatalf("byte %d changed and nobody noticed", at)
+		}
+	})
+	for _, s := range []string{"", "sandyard-trace 2\n", "x", Format} {
+		if _, err := read([]byte(s)); err == nil {
+			t.Errorf("%q is read", s)
+		}
+	}
+}
+
+func TestReplayStarts(t *testing.T) {
+	if _, err := NewReplay(Head{Part: 1, Share: 1}); err == nil {
+		t.Error("from the middle")
+	}
+	if _, err := NewReplay(Head{Share: 0.5}); err == nil {
+		t.Error("from a sample")
+	}
+}
+
+// TestReplayFindsAnotherDecision: a core that would decide otherwise is told, with the first step; behind a gap it is
+// told that the gap may be why.
+func TestReplayFindsAnotherDecision(t *testing.T) {
+	h := Head{Share: 1, Settings: choice.Settings{Classes: []choice.Class{{Aim: time.Second, Deadline: time.Second}}}}
+	_, first, err := choice.New(h.Settings, 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, gap := range []bool{false, true} {
+		r, _ := NewReplay(h)
+		r.Step(h, Item{First: true, Actions: FromActions(first)})
+		if gap {
+			r.Step(h, Item{Dropped: 1})
+		}
+		r.Step(h, Item{At: 1, Event: FromEvent(choice.Arrived{Request: 1, Left: time.Second}), Actions: FromActions([]choice.Action{choice.Fail{Request: 1}})})
+		if r.Differ != 1 || r.First == "" || (r.Uncertain == 1) != gap {
+			t.Errorf("gap %v: %+v", gap, r)
+		}
+	}
+}
