--- a/trace/trace.go
+++ b/trace/trace.go
@@ -184,8 +184,9 @@
 	if m.enc, err = (cbor.EncOptions{Sort: cbor.SortNone}).EncMode(); err != nil {
 		panic(err)
 	}
-	if m.dec, err = (cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		UTF8: cbor.UTF8DecodeInvalid}) // names of studios are whatever the configuration has.DecMode(); err != nil {
+	opt := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		UTF8: cbor.UTF8DecodeInvalid} // names of studios are whatever the configuration has
+	if m.dec, err = opt.DecMode(); err != nil {
 		panic(err)
 	}
 	return m
