--- a/internal/virtual/asker.go
+++ b/internal/virtual/asker.go
@@ -187,6 +187,12 @@
 		case c.e == nil: // nobody has accepted the connection, let alone the request
 			c.lost(audit.NoDoor)
 			return
+		case c.begun && c.waiting[0] == t && s.cfg.Settings.Classes[s.cfg.ClassOf[t.op]].Stream:
+			// a stream that has begun is the answer, however long it lasts
+			c.waiting = c.waiting[1:]
+			s.finish(t, audit.Served, 1)
+			c.lost(audit.Left)
+			return
 		case c.taken > t.Asked+2*s.ways(): // it was accepted when the client had already waited
 			s.finish(t, audit.Left, 0)
 			return
@@ -203,9 +209,10 @@
 	}
 }
 
-// ways is what a client takes off its patience for the way there and back.
+// ways is what a client takes off its patience for the way there and back: generous, since a message that is cut into
+// many pieces is as late as the latest of them.
 func (s *Sim) ways() time.Duration {
-	return time.Duration(2 * float64(s.net.latency) * (1 + 5*s.net.jitter))
+	return time.Duration(2 * float64(s.net.latency) * (1 + 12*s.net.jitter))
 }
 
 // finish ends a try, and asks again where a client would.
