--- a/door/client.go
+++ b/door/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sandyard/choice"
+	"sandyard/config"
 	"sandyard/internal/http1"
 )
 
@@ -422,11 +423,48 @@
 
 // identify finds the route, the studio, the units and the patience of a request.
 func (c *Client) identify(h *http1.Head) *problem {
-	cfg, ex := c.set.Config, c.ex
 	if c.set.Draining() {
-		ex.Close = true
+		c.ex.Close = true
 		return &shuttingDown
 	}
+	return identify(c.set.Config, h, c.ex)
+}
+
+// Match is what a front door makes of a request before anything is decided.
+type Match struct {
+	Exchange
+	refusal *problem
+}
+
+// Refusal is the status of the answer that needs no decision, and why; 0 if the request goes on to one.
+func (m Match) Refusal() (status int, why string) {
+	if m.refusal == nil {
+		return 0, ""
+	}
+	return m.refusal.status, m.refusal.kind
+}
+
+// Identify is what a front door of this configuration makes of a request with this head: the same code, for tools.
+func Identify(cfg *config.Config, h *http1.Head) Match {
+	var m Match
+	if m.refusal = identify(cfg, h, &m.Exchange); m.refusal == nil && h.Length > int64(cfg.Limits.Body) {
+		m.refusal = &tooLarge
+	}
+	return m
+}
+
+// IdentifyFor is the same for a studio whose key the tool does not have; nil is a studio that there is not.
+func IdentifyFor(cfg *config.Config, h *http1.Head, studio *config.Customer) Match {
+	var m Match
+	if m.Studio = studio; studio == nil {
+		m.refusal = &wrongKey
+	} else {
+		m.refusal = route(cfg, h, &m.Exchange)
+	}
+	return m
+}
+
+func identify(cfg *config.Config, h *http1.Head, ex *Exchange) *problem {
 	key, ok := h.Get(cfg.Headers.Key)
 	if !ok {
 		if key = bearer(h); key == "" {
@@ -436,6 +474,11 @@
 	if ex.Studio = cfg.Customer(key); ex.Studio == nil {
 		return &wrongKey
 	}
+	return route(cfg, h, ex)
+}
+
+// route finds what an identified studio asks for.
+func route(cfg *config.Config, h *http1.Head, ex *Exchange) *problem {
 	op, v := cfg.Routes.Look(h.Method, h.Path)
 	switch v {
 	case 0:
@@ -447,6 +490,7 @@
 		return &noRoute
 	}
 	ex.Op, ex.Class = op, cfg.ClassOf[op.Index]
+	var ok bool
 	if ex.Units, ok = op.Units.Of(h.Query, h.Get); !ok {
 		return &badUnits
 	}
--- /dev/null
+++ b/internal/cli/routes.go
@@ -0,0 +1,276 @@
+package cli
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"sandyard/choice"
+	"sandyard/config"
+	"sandyard/door"
+	"sandyard/internal/http1"
+	"sandyard/routes"
+	"sandyard/trace"
+)
+
+// Routes runs the sandyard-routes program.
+func Routes(args []string, out, errs io.Writer) int {
+	var g struct {
+		Match   routesMatch `cmd:"" help:"Tell what a request is taken for: operation, class, units, studio, plan."`
+		Diff    routesDiff  `cmd:"" help:"Compare two descriptions."`
+		Version version     `cmd:"" help:"Print the version."`
+	}
+	return program("sandyard-routes", "What a front door makes of requests, from its files, by its own code.", &g, args, out, errs, &Console{out, errs})
+}
+
+type routesMatch struct {
+	Config string   `required:"" type:"path" help:"The gateway.yaml." placeholder:"FILE"`
+	Key    string   `help:"A studio's key."`
+	Studio string   `help:"A studio by name, instead of a key."`
+	Header []string `short:"H" sep:"none" help:"A field of the request, as Name: value."`
+	JSON   bool     `help:"Print JSON."`
+	What   []string `arg:"" help:"METHOD and target, or - for lines of METHOD TARGET [STUDIO] on standard input."`
+}
+
+// Matched is what match prints of a request.
+type Matched struct {
+	Method    string  `json:"method"`
+	Target    string  `json:"target"`
+	Operation string  `json:"operation,omitempty"`
+	Line      int     `json:"line,omitempty"` // in the description
+	Class     string  `json:"class,omitempty"`
+	Repeat    string  `json:"repeat,omitempty"`
+	Units     float64 `json:"units"`
+	Studio    string  `json:"studio,omitempty"`
+	Plan      string  `json:"plan,omitempty"`
+	Deadline  string  `json:"deadline,omitempty"`
+	Status    int     `json:"status,omitempty"` // of the answer it gets without a decision
+	Why       string  `json:"why,omitempty"`
+}
+
+func repeatText(k choice.Class) string {
+	switch k.Repeat {
+	case choice.Safe:
+		return "safe"
+	case choice.Keyed:
+		return fmt.Sprintf("keyed for %v within %s", k.KeyTTL, [...]string{"all boxes", "its zone", "its cell"}[k.Scope])
+	}
+	return "unsafe"
+}
+
+// match asks the front door's own code.
+func (m routesMatch) match(cfg *config.Config, method, target, studio string) Matched {
+	out := Matched{Method: method, Target: target}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: routes\r\n", method, target)
+	for _, h := range m.Header {
+		name, value, _ := strings.Cut(h, ":")
+		fmt.Fprintf(&b, "%s: %s\r\n", name, strings.TrimSpace(value))
+	}
+	if m.Key != "" {
+		fmt.Fprintf(&b, "%s: %s\r\n", cfg.Headers.Key, m.Key)
+	}
+	b.WriteString("\r\n")
+	_, part, err := http1.NewRequests(http1.Limits{Head: int(cfg.Limits.Head), Fields: cfg.Limits.Fields}).Feed([]byte(b.String()))
+	if err != nil || part.Kind != http1.HeadEnd {
+		out.Status, out.Why = 400, "malformed"
+		var e *http1.Error
+		if errors.As(err, &e) {
+			out.Status, out.Why = e.Status, e.Reason
+		}
+		return out
+	}
+	var got door.Match
+	if studio != "" && m.Key == "" {
+		got = door.IdentifyFor(cfg, part.Head, cfg.Studio(studio))
+	} else {
+		got = door.Identify(cfg, part.Head)
+	}
+	if got.Studio != nil {
+		out.Studio, out.Plan = got.Studio.Name, got.Studio.PlanName
+	}
+	if op := got.Op; op != nil {
+		k := cfg.Settings.Classes[got.Class]
+		out.Operation, out.Line, out.Class, out.Repeat = op.ID, op.Line, op.Class, repeatText(k)
+		out.Units, out.Deadline = got.Units, got.Patience.String()
+	}
+	out.Status, out.Why = got.Refusal()
+	return out
+}
+
+func (m routesMatch) Run(c *Console) error {
+	cfg, err := config.Load(m.Config)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	enc := json.NewEncoder(c.Out)
+	print := func(x Matched) error {
+		if m.JSON {
+			return enc.Encode(x)
+		}
+		status := "decided"
+		if x.Status != 0 {
+			status = fmt.Sprintf("%d %s", x.Status, x.Why)
+		}
+		_, err := fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%g\t%q\t%s\t%s\n", x.Method, x.Target, x.Operation, x.Class, x.Repeat, x.Units, x.Studio, x.Plan, status)
+		return err
+	}
+	if !m.JSON {
+		fmt.Fprintln(w, "method\ttarget\toperation\tclass\trepeat\tunits\tstudio\tplan\tanswer")
+	}
+	defer w.Flush()
+	switch {
+	case len(m.What) == 1 && m.What[0] == "-":
+		in := bufio.NewScanner(os.Stdin)
+		in.Buffer(nil, 1<<20)
+		for n := 1; in.Scan(); n++ {
+			f := strings.Fields(in.Text())
+			if len(f) == 0 {
+				continue
+			}
+			if len(f) < 2 || len(f) > 3 {
+				return fmt.Errorf("standard input, line %d: expected METHOD TARGET [STUDIO]", n)
+			}
+			studio := m.Studio
+			if len(f) == 3 {
+				studio = f[2]
+			}
+			if err := print(m.match(cfg, f[0], f[1], studio)); err != nil {
+				return err
+			}
+		}
+		return in.Err()
+	case len(m.What) == 2:
+		return print(m.match(cfg, m.What[0], m.What[1], m.Studio))
+	}
+	return fmt.Errorf("expected METHOD TARGET, or -")
+}
+
+type routesDiff struct {
+	Old   string   `arg:"" type:"existingfile" help:"The description in force."`
+	New   string   `arg:"" type:"existingfile" help:"The one to come."`
+	Trace []string `type:"existingfile" help:"Traces whose traffic tells who would pay more." placeholder:"FILE"`
+}
+
+func (d routesDiff) Run(c *Console) error {
+	var tables [2]*routes.Table
+	for i, name := range []string{d.Old, d.New} {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return err
+		}
+		if tables[i], err = routes.Compile(name, text); err != nil {
+			return err
+		}
+	}
+	key := func(op *routes.Operation) string { return op.Method + " " + op.Template }
+	old, now := map[string]*routes.Operation{}, map[string]*routes.Operation{}
+	for _, op := range tables[0].Operations {
+		old[key(op)] = op
+	}
+	var lines []string
+	cost := map[string][2]float64{} // by old operation id
+	for _, op := range tables[1].Operations {
+		now[key(op)] = op
+		was, ok := old[key(op)]
+		if !ok {
+			lines = append(lines, fmt.Sprintf("new\t%s\tline %d: class %s, %s", key(op), op.Line, op.Class, unitsText(op.Units)))
+			continue
+		}
+		if was.Class != op.Class {
+			lines = append(lines, fmt.Sprintf("class\t%s\t%s (line %d) to %s (line %d)", key(op), was.Class, was.Line, op.Class, op.Line))
+		}
+		if was.Units != op.Units {
+			lines = append(lines, fmt.Sprintf("cost\t%s\t%s (line %d) to %s (line %d)", key(op), unitsText(was.Units), was.Line, unitsText(op.Units), op.Line))
+			if was.Units.In == "" && op.Units.In == "" {
+				cost[was.ID] = [2]float64{was.Units.Fixed, op.Units.Fixed}
+			}
+		}
+		if was.Repeat != op.Repeat {
+			lines = append(lines, fmt.Sprintf("repeat\t%s\tline %d to line %d", key(op), was.Line, op.Line))
+		}
+		if was.ID != op.ID {
+			lines = append(lines, fmt.Sprintf("id\t%s\t%s to %s", key(op), was.ID, op.ID))
+		}
+	}
+	for _, op := range tables[0].Operations {
+		if now[key(op)] == nil {
+			lines = append(lines, fmt.Sprintf("gone\t%s\tline %d", key(op), op.Line))
+			if hit, v := tables[1].Look(op.Method, strings.NewReplacer("{", "", "}", "").Replace(op.Template)); v == routes.Found {
+				lines = append(lines, fmt.Sprintf("shadowed\t%s\tits requests become %s (line %d)", key(op), key(hit), hit.Line))
+			}
+		}
+	}
+	slices.Sort(lines)
+	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	for _, l := range lines {
+		fmt.Fprintln(w, l)
+	}
+	w.Flush()
+	fmt.Fprintf(c.Out, "%d differences in %d and %d operations\n", len(lines), len(tables[0].Operations), len(tables[1].Operations))
+	if len(d.Trace) == 0 {
+		return nil
+	}
+	return d.weigh(c, cost)
+}
+
+// weigh tells who would have paid more for the traffic of traces.
+func (d routesDiff) weigh(c *Console, cost map[string][2]float64) error {
+	type sum struct{ was, now float64 }
+	by := map[string]*sum{}
+	err := traceFiles{d.Trace}.each(c, nil, func(h trace.Head, it trace.Item) error {
+		a := it.Event.Arrived
+		if a == nil {
+			return nil
+		}
+		s := by[a.Customer]
+		if s == nil {
+			s = &sum{}
+			by[a.Customer] = s
+		}
+		s.was += a.Units
+		if ch, ok := cost[name(h.Ops, it.Op-1)]; ok {
+			s.now += ch[1]
+		} else {
+			s.now += a.Units
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	var names []string
+	for n, s := range by {
+		if s.was != s.now {
+			names = append(names, n)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if x, y := by[a].now-by[a].was, by[b].now-by[b].was; x != y {
+			return int(1e6 * (y - x))
+		}
+		return strings.Compare(a, b)
+	})
+	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nstudio\tunits in the traces\tunder the new description\tchange")
+	for _, n := range names {
+		fmt.Fprintf(w, "%q\t%g\t%g\t%+.1f%%\n", n, by[n].was, by[n].now, 100*(by[n].now/max(by[n].was, 1e-9)-1))
+	}
+	w.Flush()
+	_, err = fmt.Fprintf(c.Out, "%d of %d studios would pay otherwise\n", len(names), len(by))
+	return err
+}
+
+func unitsText(u routes.Units) string {
+	if u.In == "" {
+		return fmt.Sprintf("%g units", u.Fixed)
+	}
+	return fmt.Sprintf("units by %s %s, %g if absent, at most %g", u.In, u.Name, u.Default, u.Most)
+}
