A fleet that is mostly cold turns requests away

Below a mean warmth of 0.5 attempts are now turned away by the square of what is lacking; where half the fleet is warm nothing changes. TestColdFleet; the script is a regression case.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -50,6 +50,7 @@
 	memory         = 5 * time.Second        // over which a gateway remembers what was asked of it
 	prior          = 0.5                    // requests that the pool counts beside what was asked here
 	leastAsking    = 0.15                   // least chance of a call
+	mostlyCold     = 0.5                    // mean warmth of all servers below which requests are turned away for it
 	otherZone      = 1.005                  // factor on the expected wait in another zone
 	choices        = 3                      // servers compared for one attempt
 	mostDraws      = 24                     // draws to find them
@@ -615,10 +616,25 @@
 	}
 }
 
+// coldFleet tells whether to turn an attempt away since hardly any server is warm: with nobody else to draw, a cold
+// server would be sent what the whole fleet is asked. It guards against a fleet replaced at a stroke; where half of it
+// is warm it never acts.
+func (g *Gateway) coldFleet() bool {
+	sum := 0.0
+	for _, s := range g.list {
+		sum += g.warmth(s)
+	}
+	share := sum / (mostlyCold * float64(len(g.list)))
+	return share < 1 && g.rng.Float64() >= share*share
+}
+
 // choose picks a server for the next attempt of r, or nil: of a few drawn at random, the one with the least
 // wait and risk. A cold one is drawn as often as its warmth says, so that all gateways together give it its
 // share however many they are, and an empty line attracts nobody who has not drawn it.
 func (g *Gateway) choose(r *request) *server {
+	if g.coldFleet() {
+		return nil
+	}
 	class := g.set.Classes[r.class]
 	var best, spare *server
 	least := math.Inf(1)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -329,6 +329,24 @@
 	}
 }
 
+// A fleet replaced at a stroke: the only server is cold, and must not be sent what the whole fleet is asked. With half
+// of the servers warm nothing is turned away for it.
+func TestColdFleet(t *testing.T) {
+	set := basic()
+	set.ColdTime = time.Hour // stays at its coldest
+	for _, c := range []struct {
+		warm, least, most int
+	}{{0, 50, 300}, {1, 990, 1000}} {
+		servers := up(1, 2)[:1+c.warm]
+		servers[0].Started = time.Hour
+		b := start(t, set, time.Hour, servers...)
+		got := load(b, 0, 1000, 5*time.Millisecond, func(choice.ServerID) (time.Duration, choice.Outcome) { return time.Millisecond, choice.OK })
+		if all := got[1] + got[2]; all < c.least || all > c.most {
+			t.Errorf("%d warm servers: %d of 1000 were sent", c.warm, all)
+		}
+	}
+}
+
 func TestHungServerIsLeft(t *testing.T) {
 	b := start(t, basic(), 0, up(1, 2, 3, 4)...)
 	got := load(b, 1, 400, 100*time.Millisecond, func(s choice.ServerID) (time.Duration, choice.Outcome) {
