--- a/choice/choice.go
+++ b/choice/choice.go
@@ -82,7 +82,8 @@
 	set.MaxAttempts, set.Gateways = max(1, set.MaxAttempts), max(1, set.Gateways)
 	set.MostUnits = max(1, set.MostUnits)
 	set.Plans = append(slices.Clone(set.Plans), Plan{Price: 1}) // for plans that were not described
-	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: now, budget: retryBurst,
+	random := rand.NewPCG(seed, 0)
+	g := &Gateway{set: set, random: random, rng: rand.New(random), now: now, budget: retryBurst,
 		asking: 1, customers: map[string]*customer{}, calls: map[string][]call{},
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}}
 	few := average{least: fewest, window: window.Seconds(), fade: linger.Seconds(), at: now}
--- a/choice/state.go
+++ b/choice/state.go
@@ -14,6 +14,7 @@
 // Gateway decides for one front door. It is a deterministic state machine and not safe for concurrent use.
 type Gateway struct {
 	set       Settings
+	random    *rand.PCG // what rng draws from
 	rng       *rand.Rand
 	now       time.Duration
 	out       []Action
--- a/door/core.go
+++ b/door/core.go
@@ -66,8 +66,9 @@
 	At      time.Duration
 	Event   choice.Event // nil: the actions are those of New
 	Actions []choice.Action
-	Op      int      // of an arrival: the position of its operation, plus 1
-	Names   []string // of a list: the names of its boxes, in its order
+	Op      int           // of an arrival: the position of its operation, plus 1
+	Names   []string      // of a list: the names of its boxes, in its order
+	State   *choice.State // instead of all others: the module's state before the next step
 }
 
 // Core is the decision loop: one owner, no I/O. Every method that takes a time may add wishes; the owner fetches
@@ -93,6 +94,7 @@
 	keeper     keeper
 	wishes     []Wish
 	first      []choice.Action // the module's
+	nextState  time.Duration   // when the module's state is recorded next
 	names      []string        // of the list that is handed over
 	events     []choice.Event  // that follow from actions
 	owed       int             // exchanges without a final answer, or whose answer flows
@@ -117,7 +119,10 @@
 	return c, nil
 }
 
-const sweepEvery = time.Second // how often idle lines are looked at
+const (
+	sweepEvery = time.Second      // how often idle lines are looked at
+	stateEvery = 30 * time.Second // how often the module's state is recorded; it takes time in proportion to its customers
+)
 
 // Wishes are what has to be done now. The slice is the caller's until its next call.
 func (c *Core) Wishes() []Wish {
@@ -171,9 +176,15 @@
 
 // hand gives an event to the module and carries out its actions.
 func (c *Core) hand(e choice.Event, op int) {
+	if c.Record != nil && c.now >= c.nextState {
+		c.nextState = c.now + stateEvery
+		if st, err := c.gw.Snapshot(); err == nil {
+			c.Record(Step{At: c.now, State: &st})
+		}
+	}
 	actions := c.gw.Handle(e, c.now)
 	if c.Record != nil {
-		c.Record(Step{c.now, e, actions, op, c.names})
+		c.Record(Step{At: c.now, Event: e, Actions: actions, Op: op, Names: c.names})
 	}
 	c.carryOut(actions)
 }
--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -247,7 +247,10 @@
 		return err
 	}
 	took := time.Since(begun).Seconds()
-	fmt.Fprintf(c.Out, "%d steps replayed, %d differ, %d missing; %.0f steps a second\n", r.Steps, r.Differ, r.Dropped, float64(r.Steps)/took)
+	fmt.Fprintf(c.Out, "%d steps replayed and %d states compared, %d differ, %d missing; %.0f steps a second\n", r.Steps, r.States, r.Differ, r.Dropped, float64(r.Steps)/took)
+	if r.Skipped > 0 {
+		fmt.Fprintf(c.Out, "%d steps before the first recorded state could not be replayed\n", r.Skipped)
+	}
 	if r.Differ > 0 {
 		fmt.Fprintf(c.Out, "first at %v: %s\n", r.FirstAt, r.First)
 		if r.Uncertain == r.Differ {
--- a/internal/sockets/recorder.go
+++ b/internal/sockets/recorder.go
@@ -184,6 +184,10 @@
 				}
 			}
 		}
+		if st.State != nil {
+			items = append(items, trace.Item{At: st.At, State: st.State})
+			continue
+		}
 		items = append(items, trace.Item{At: st.At, Event: trace.FromEvent(st.Event), Actions: trace.FromActions(st.Actions), Op: st.Op,
 			First: st.Event == nil})
 		if len(items) >= frameItems {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -49,6 +49,7 @@
 	Box     *Box          `cbor:"5,keyasint,omitempty"` // a box's name
 	Op      int           `cbor:"6,keyasint,omitempty"` // of an arrival: its operation, from 1
 	First   bool          `cbor:"7,keyasint,omitempty"` // the actions are those of New
+	State   *choice.State `cbor:"8,keyasint,omitempty"` // the module's state before the next step; nothing else is set
 }
 
 // Box names a server.
