sandyard-quota, and the admin socket that it asks

A studio's quota as a front door sees it, from the running one or from a trace at any time, and what would be decided now, asked of the module on a copy of its state.

--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -197,8 +197,7 @@
 		s.Requests = append(s.Requests, q)
 	}
 	for _, c := range customers.all {
-		s.Customers = append(s.Customers, CustomerState{c.id, c.spread, c.plan, c.asks, c.queued, c.used, c.at, c.level, c.ceiling, c.total, c.heard,
-			c.next, c.fresh, c.seen, c.addAt, c.open})
+		s.Customers = append(s.Customers, customerState(c))
 	}
 	for _, v := range servers.all {
 		q := ServerData{Entry: v.ServerEntry, Open: v.open, Due: v.due, Slowness: v.slowness, Cold: v.cold, ColdAt: v.coldAt}
@@ -319,3 +318,18 @@
 	}
 	return g, nil
 }
+
+// Customer is what the gateway knows of a customer, as of its last event. Only the owner of the gateway may ask; it
+// takes no time to speak of.
+func (g *Gateway) Customer(id string) (CustomerState, bool) {
+	c := g.customers[id]
+	if c == nil {
+		return CustomerState{}, false
+	}
+	return customerState(c), true
+}
+
+func customerState(c *customer) CustomerState {
+	return CustomerState{c.id, c.spread, c.plan, c.asks, c.queued, c.used, c.at, c.level, c.ceiling, c.total, c.heard, c.next, c.fresh, c.seen,
+		c.addAt, c.open}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -84,7 +84,10 @@
 	} `yaml:"units"`
 	Limits Limits `yaml:"limits"`
 	Trace  Trace  `yaml:"trace"`
-	Log    struct {
+	Admin  struct {
+		Socket string `yaml:"socket"` // path of the unix socket for tools; none if empty
+	} `yaml:"admin"`
+	Log struct {
 		Format string `yaml:"format"`
 		Level  string `yaml:"level"`
 	} `yaml:"log"`
@@ -285,6 +288,9 @@
 	return c.finish(d)
 }
 
+// AdminSocket is where tools find the front door; empty if nowhere.
+func (c *Config) AdminSocket() string { return c.beside(c.Admin.Socket) }
+
 // TraceFolder is where traces are kept.
 func (c *Config) TraceFolder() string { return c.beside(c.Trace.Folder) }
 
--- a/door/core.go
+++ b/door/core.go
@@ -189,6 +189,9 @@
 	c.carryOut(actions)
 }
 
+// Gateway is the decision module, for the core's owner to look at; it must be handed no event.
+func (c *Core) Gateway() *choice.Gateway { return c.gw }
+
 // First is the module's first step, for those who set Record later.
 func (c *Core) First(began time.Duration) Step { return Step{At: began, Actions: c.first} }
 
--- /dev/null
+++ b/internal/cli/quota.go
@@ -0,0 +1,193 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/url"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"sandyard/choice"
+	"sandyard/identity"
+	"sandyard/internal/http1"
+	"sandyard/quota"
+	"sandyard/trace"
+)
+
+// Quota runs the sandyard-quota program.
+func Quota(args []string, out, errs io.Writer) int {
+	var g struct {
+		Show    quotaShow  `cmd:"" help:"How a studio stands, as one front door sees it."`
+		Would   quotaWould `cmd:"" help:"What the front door would decide now on a try; nothing is changed."`
+		Version version    `cmd:"" help:"Print the version."`
+	}
+	return program("sandyard-quota", "How a studio stands with its quota.", &g, args, out, errs, &Console{out, errs})
+}
+
+// ask gets an answer from a front door's admin socket. One of another core is refused.
+func ask(socket, path string, into any) error {
+	c, err := net.DialTimeout("unix", socket, 2*time.Second)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: admin\r\n\r\n", path); err != nil {
+		return err
+	}
+	rd := http1.NewResponses(http1.Limits{})
+	rd.Expect("GET")
+	text, err := io.ReadAll(io.LimitReader(c, 1<<20))
+	if err != nil {
+		return err
+	}
+	var head *http1.Head
+	var body []byte
+	for {
+		n, part, err := rd.Feed(text)
+		text = text[n:]
+		if err != nil {
+			return err
+		}
+		switch part.Kind {
+		case http1.More:
+			return errors.New("the front door's answer is cut off")
+		case http1.HeadEnd:
+			head = part.Head
+			core, _ := head.Get("Sandyard-Core")
+			if err := identity.Check(core, "the running front door"); err != nil {
+				return err
+			}
+		case http1.Data:
+			body = append(body, part.Data...)
+		case http1.End:
+			if head.Status != 200 {
+				var e struct{ Error string }
+				json.Unmarshal(body, &e)
+				return fmt.Errorf("the front door says: %s", e.Error)
+			}
+			return json.Unmarshal(body, into)
+		}
+	}
+}
+
+type quotaShow struct {
+	Studio string        `required:"" help:"The studio's name."`
+	Socket string        `help:"The front door's admin socket." placeholder:"PATH"`
+	Trace  []string      `type:"existingfile" help:"Or trace files." placeholder:"FILE"`
+	At     time.Duration `help:"With traces: time after the first step; the end if absent."`
+	JSON   bool          `help:"Print JSON."`
+}
+
+func (q quotaShow) Run(c *Console) error {
+	var v quota.View
+	switch {
+	case q.Socket != "" && len(q.Trace) == 0:
+		if err := ask(q.Socket, "/v1/studio?name="+url.QueryEscape(q.Studio), &v); err != nil {
+			return err
+		}
+	case q.Socket == "" && len(q.Trace) > 0:
+		var err error
+		if v, err = q.fromTrace(c); err != nil {
+			return err
+		}
+	default:
+		return errors.New("give either --socket or --trace")
+	}
+	if q.JSON {
+		return json.NewEncoder(c.Out).Encode(v)
+	}
+	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "studio\t%q\n", v.Studio)
+	fmt.Fprintf(w, "plan\t%g units a second, %g at once\n", v.Rate, v.Burst)
+	if !v.Known {
+		fmt.Fprintf(w, "seen here\tnot lately\n")
+		return w.Flush()
+	}
+	fmt.Fprintf(w, "shared by\t%g front doors\n", v.Spread)
+	fmt.Fprintf(w, "split left here\t%.2f units\n", v.Level)
+	if v.CeilingRate > 0 {
+		fmt.Fprintf(w, "ceiling left here\t%.2f units\n", v.Ceiling)
+	}
+	fmt.Fprintf(w, "asked for here lately\t%.2f units\n", v.AskedHere)
+	fmt.Fprintf(w, "attempts out\t%d\n", v.Open)
+	switch {
+	case !v.AsksKeeper:
+		fmt.Fprintf(w, "keeper\tnot asked: this front door alone serves it, or there is no keeper\n")
+	case v.HeardAgo < 0:
+		fmt.Fprintf(w, "keeper\thas told nothing yet\n")
+	default:
+		fmt.Fprintf(w, "keeper\ttold a recent use of %.2f units over all front doors, %.3f s ago\n", v.Total, v.HeardAgo)
+	}
+	if v.BeyondFor > 0 {
+		fmt.Fprintf(w, "beyond its quota\tfor another %.3f s at least\n", v.BeyondFor)
+	}
+	return w.Flush()
+}
+
+// fromTrace replays up to a time and looks there.
+func (q quotaShow) fromTrace(c *Console) (quota.View, error) {
+	var r *trace.Replay
+	var head trace.Head
+	var first, last time.Duration
+	begun, plan := false, choice.PlanID(-1)
+	stop := errors.New("far enough")
+	err := traceFiles{q.Trace}.each(c, func(h trace.Head) error {
+		if err := identity.Check(h.Core, "the trace"); err != nil {
+			return err
+		}
+		var err error
+		if r == nil {
+			head = h
+			r, err = trace.NewReplay(h)
+		}
+		return err
+	}, func(h trace.Head, it trace.Item) error {
+		if !begun {
+			first, begun = it.At, true
+		}
+		if q.At > 0 && it.At > first+q.At {
+			return stop
+		}
+		if a := it.Event.Arrived; a != nil && a.Customer == q.Studio {
+			plan = a.Plan
+		}
+		last = max(last, it.At)
+		return r.Step(h, it)
+	})
+	if err != nil && !errors.Is(err, stop) {
+		return quota.View{}, err
+	}
+	if r == nil || r.Gateway() == nil {
+		return quota.View{}, errors.New("the trace holds no state to look at")
+	}
+	if r.Dropped > 0 {
+		fmt.Fprintf(c.Errs, "%d steps are missing from the trace: the figures may be off\n", r.Dropped)
+	}
+	st, known := r.Gateway().Customer(q.Studio)
+	return quota.Look(head.Settings, plan, q.Studio, st, known, last), nil
+}
+
+type quotaWould struct {
+	Studio string  `required:"" help:"The studio's name."`
+	Units  float64 `default:"1" help:"Units of the try."`
+	Socket string  `required:"" help:"The front door's admin socket." placeholder:"PATH"`
+	JSON   bool    `help:"Print JSON."`
+}
+
+func (q quotaWould) Run(c *Console) error {
+	var v quota.Verdict
+	path := "/v1/would?name=" + url.QueryEscape(q.Studio) + "&units=" + strconv.FormatFloat(q.Units, 'g', -1, 64)
+	if err := ask(q.Socket, path, &v); err != nil {
+		return err
+	}
+	if q.JSON {
+		return json.NewEncoder(c.Out).Encode(v)
+	}
+	_, err := fmt.Fprintln(c.Out, v.Answer)
+	return err
+}
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -59,6 +59,7 @@
 	keeperBytes
 	list
 	listFailed
+	inquiry
 )
 
 // post is a message to the goroutine that owns the core.
@@ -71,6 +72,7 @@
 	keeper *keeperConn
 	bytes  []byte
 	boxes  []config.Box
+	look   func(*door.Core, time.Duration)
 }
 
 // Options are what a server may be told beside its configuration.
@@ -144,6 +146,11 @@
 	if err != nil {
 		return err
 	}
+	stopAdmin, err := s.startAdmin()
+	if err != nil {
+		return err
+	}
+	defer stopAdmin()
 	loopDone := make(chan struct{})
 	go func() { // owned by this call, which waits for it
 		defer close(loopDone)
@@ -355,6 +362,8 @@
 		c.List(now, p.boxes, s.start.Add(-door.Start))
 	case listFailed:
 		c.ListFailed(now)
+	case inquiry:
+		p.look(c, now)
 	}
 	s.carryOut()
 }
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -131,3 +131,6 @@
 	}
 	return reflect.DeepEqual(a, b)
 }
+
+// Gateway is the module as it stands; nil before the first step or state. It must be handed no event.
+func (r *Replay) Gateway() *choice.Gateway { return r.gw }
