--- a/internal/sockets/recorder.go
+++ b/internal/sockets/recorder.go
@@ -33,6 +33,8 @@
 	stop  chan struct{}
 	ended chan struct{}
 
+	opened *os.File // the first file
+
 	mu      sync.Mutex
 	steps   []door.Step
 	dropped uint64
@@ -75,6 +77,7 @@
 	if err := r.next(); err != nil {
 		return nil, err
 	}
+	r.opened = r.file
 	r.steps = append(r.steps, s.core.First(door.Start))
 	s.core.Record = r.record
 	return r, nil
--- a/internal/sockets/server_test.go
+++ b/internal/sockets/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -22,6 +23,7 @@
 
 	"sandyard/config"
 	"sandyard/standin"
+	"sandyard/trace"
 	"sandyard/trouble"
 )
 
@@ -641,3 +643,129 @@
 		}
 	}
 }
+
+// TestAdminSocket: tools look at a front door that serves, and change nothing; two at once, hostile ones, and a socket
+// left behind by a killed process are no trouble.
+func TestAdminSocket(t *testing.T) {
+	b := aBox(t, standin.BoxConfig{}, nil)
+	path := filepath.Join(t.TempDir(), "a.sock")
+	old, err := net.Listen("unix", path) // of a process that is gone
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.(*net.UnixListener).SetUnlinkOnClose(false)
+	old.Close()
+	r := start(t, fmt.Sprintf("admin: {socket: %q}\n", path), "", b.Addr())
+	r.logged("admin socket")
+	ask := func(text string) string {
+		c, err := net.Dial("unix", path)
+		if err != nil {
+			t.Error(err)
+			return ""
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		io.WriteString(c, text)
+		got, _ := io.ReadAll(c)
+		return string(got)
+	}
+	get := func(p string) string { return ask("GET " + p + " HTTP/1.1\r\nHost: a\r\n\r\n") }
+	for range 2 {
+		r.status(req("GET", "/look", "kb", ""))
+	}
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() {
+			for range 3 {
+				if got := get("/v1/studio?name=b"); !strings.Contains(got, `"known":true`) || !strings.Contains(got, "Sandyard-Core: ") {
+					t.Errorf("%s", got)
+				}
+			}
+			if got := get("/v1/would?name=b&units=1"); !strings.Contains(got, "admitted") {
+				t.Errorf("%s", got)
+			}
+			if got := get("/v1/would?name=b&units=900"); !strings.Contains(got, "refused: quota") {
+				t.Errorf("%s", got)
+			}
+		})
+	}
+	wg.Wait()
+	if s := r.status(req("GET", "/look", "kb", "")); s != 200 {
+		t.Errorf("looking has cost the studio its third unit: %d", s)
+	}
+	for text, want := range map[string]string{"GET /v1/studio?name=nobody HTTP/1.1\r\nHost: a\r\n\r\n": "404", "POST /v1/identity HTTP/1.1\r\nHost: a\r\n\r\n": "405",
+		"GET /v2/studio HTTP/1.1\r\nHost: a\r\n\r\n": "404", "nonsense\r\n\r\n": "400", "GET /v1/would?name=b&units=x HTTP/1.1\r\nHost: a\r\n\r\n": "400",
+		"GET /v1/studio?name=%zz HTTP/1.1\r\nHost: a\r\n\r\n": "400"} {
+		if got := ask(text); !strings.HasPrefix(got, "HTTP/1.1 "+want) {
+			t.Errorf("%q: %s", text, got)
+		}
+	}
+	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("%v %v", info.Mode(), err)
+	}
+}
+
+// TestRecording: what is decided is in the trace and no key is; files are begun anew at their size.
+func TestRecording(t *testing.T) {
+	b := aBox(t, standin.BoxConfig{}, nil)
+	dir := t.TempDir()
+	r := start(t, fmt.Sprintf("trace: {mode: full, folder: %q, file-size: 64KiB, most: 1MiB}\n", dir), "", b.Addr())
+	for range 300 {
+		if s := r.status(req("GET", "/look", "ka", "")); s != 200 {
+			t.Fatal(s)
+		}
+	}
+	r.stop()
+	if err := <-r.ended; err != nil {
+		t.Fatal(err)
+	}
+	close(r.ended)
+	files, _ := filepath.Glob(filepath.Join(dir, "*.trace"))
+	arrived, served := 0, 0
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rd, err := trace.NewReader(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for {
+			items, err := rd.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if items == nil {
+				break
+			}
+			for _, it := range items {
+				b, _ := json.Marshal(it)
+				if strings.Contains(string(b), `"ka"`) {
+					t.Error("a key in the trace")
+				}
+				if it.Event.Arrived != nil {
+					arrived++
+				}
+				if it.Event.Ended != nil {
+					served++
+				}
+			}
+		}
+		rd.Close()
+	}
+	if arrived != 300 || served != 300 {
+		t.Errorf("%d arrived and %d were served in %d files", arrived, served, len(files))
+	}
+}
+
+// TestRecordingEndsWithItsDisk: a folder that can't be written any more ends the recording, not the front door.
+func TestRecordingEndsWithItsDisk(t *testing.T) {
+	b := aBox(t, standin.BoxConfig{}, nil)
+	r := start(t, fmt.Sprintf("trace: {mode: full, folder: %q}\n", t.TempDir()), "", b.Addr())
+	r.s.rec.opened.Close() // before Serve has begun to write, or between two frames
+	r.logged("recording has ended")
+	if s := r.status(req("GET", "/look", "ka", "")); s != 200 {
+		t.Errorf("%d", s)
+	}
+}
