--- a/choice/choice.go
+++ b/choice/choice.go
@@ -50,7 +50,7 @@
 	memory         = 5 * time.Second        // over which a gateway remembers what was asked of it
 	prior          = 0.5                    // requests that the pool counts beside what was asked here
 	leastAsking    = 0.15                   // least chance of a call
-	mostlyCold     = 0.5                    // mean warmth of all servers below which requests are turned away for it
+	mostlyCold     = 0.5                    // mean warmth of all servers below which some are turned away
 	otherZone      = 1.005                  // factor on the expected wait in another zone
 	choices        = 3                      // servers compared for one attempt
 	mostDraws      = 24                     // draws to find them
@@ -617,9 +617,9 @@
 	}
 }
 
-// coldFleet tells whether to turn an attempt away since hardly any server is warm: with nobody else to draw, a cold
-// server would be sent what the whole fleet is asked. It guards against a fleet replaced at a stroke; where half of it
-// is warm it never acts.
+// coldFleet tells whether to turn an attempt away since hardly any server is warm: with nobody else to draw,
+// a cold server would be sent what the whole fleet is asked. It guards against a fleet replaced at a stroke;
+// where half of it is warm it never acts.
 func (g *Gateway) coldFleet() bool {
 	sum := 0.0
 	for _, s := range g.list {
--- a/internal/virtual/asker.go
+++ b/internal/virtual/asker.go
@@ -193,7 +193,7 @@
 			s.finish(t, audit.Served, 1)
 			c.lost(audit.Left)
 			return
-		case c.taken > t.Asked+2*s.ways(): // it was accepted when the client had already waited
+		case c.taken > t.Asked+s.ways()/2: // it was accepted when the client had already waited
 			s.finish(t, audit.Left, 0)
 			return
 		}
