--- a/internal/virtual/sim.go
+++ b/internal/virtual/sim.go
@@ -415,6 +415,8 @@
 		d.kill()
 		end(func() {
 			s.check.DoorUp(d.number, s.now)
+			// who asks on a connection of the old process has not heard of its end yet
+			s.check.DoorStopped(d.number, s.now+s.ways(), false)
 			if s.opt.Forgetful { // as if a new process had its whole split of the ceiling
 				for i := range d.cfg.Settings.Plans {
 					p := &d.cfg.Settings.Plans[i]
