--- a/internal/cli/sim.go
+++ b/internal/cli/sim.go
@@ -78,6 +78,16 @@
 	return s, opt, err
 }
 
+// play runs a seed's script, or a file's.
+func (c simCommon) play(what string) (*virtual.Script, virtual.Options, virtual.Outcome, error) {
+	s, opt, err := c.script(what)
+	if err != nil {
+		return nil, opt, virtual.Outcome{}, err
+	}
+	o, err := virtual.Run(s, opt)
+	return s, opt, o, err
+}
+
 type simRun struct {
 	simCommon
 	Seeds    string `default:"1-200" help:"Seeds, as FROM-TO."`
@@ -294,11 +304,7 @@
 }
 
 func (r simShrink) Run(c *Console) error {
-	s, opt, err := r.script(r.Script)
-	if err != nil {
-		return err
-	}
-	o, err := virtual.Run(s, opt)
+	s, opt, o, err := r.play(r.Script)
 	if err != nil {
 		return err
 	}
@@ -330,11 +336,7 @@
 }
 
 func (r simDigest) Run(c *Console) error {
-	s, opt, err := r.script(r.Script)
-	if err != nil {
-		return err
-	}
-	o, err := virtual.Run(s, opt)
+	_, _, o, err := r.play(r.Script)
 	if err != nil {
 		return err
 	}
