Virtual clock: what is sent is copied once, and a list read by all doors parsed once

A connection now writes fresh bytes without holding them first, an empty inbox takes over the segment that arrives, and the last list read is kept with what it came to.

--- a/internal/virtual/asker.go
+++ b/internal/virtual/asker.go
@@ -288,8 +288,7 @@
 	if c.e == nil || c.gone {
 		return
 	}
-	n := c.e.write(c.out)
-	c.out = c.out[n:]
+	c.out = c.e.flow(c.out, nil)
 }
 
 func (c *askConn) writable(*end) { c.flush() }
--- a/internal/virtual/door.go
+++ b/internal/virtual/door.go
@@ -155,8 +155,7 @@
 
 // readList reads the list as its file is now. A file that can't be read leaves the list as it was.
 func (d *vdoor) readList() {
-	text := d.s.list
-	boxes, err := config.ParseBoxes("boxes.yaml", []byte(text))
+	boxes, err := d.s.parsed()
 	d.post(func() {
 		if err != nil {
 			d.s.reach("list broken")
@@ -282,12 +281,10 @@
 			c.d.s.reach("own answer " + strconv.Itoa(status))
 		}
 		c.m.Own = c.m.Own[:0]
-		c.out = append(c.out, c.m.Out...)
-		c.m.Out = c.m.Out[:0]
-		if len(c.out) > 0 {
-			n := c.e.write(c.out)
-			c.out = c.out[n:]
-			if n > 0 {
+		if all := len(c.out) + len(c.m.Out); all > 0 {
+			c.out = c.e.flow(c.out, c.m.Out)
+			c.m.Out = c.m.Out[:0]
+			if len(c.out) < all {
 				c.stuck = c.d.s.now
 			}
 		}
@@ -295,7 +292,6 @@
 			c.watch()
 			break
 		}
-		c.out = nil
 		if c.source != nil {
 			c.source.readable(nil)
 		}
@@ -432,8 +428,7 @@
 }
 
 func (v *vline) writable(*end) {
-	n := v.e.write(v.out)
-	v.out = v.out[n:]
+	v.out = v.e.flow(v.out, nil)
 }
 
 func (v *vline) hang() {
@@ -605,8 +600,7 @@
 }
 
 func (k *vkeeperLink) writable(*end) {
-	n := k.e.write(k.out)
-	k.out = k.out[n:]
+	k.out = k.e.flow(k.out, nil)
 }
 
 func (k *vkeeperLink) readable(*end) {
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -216,6 +216,19 @@
 	return took
 }
 
+// flow writes what was held back and then what is new, and returns what must be held back now.
+func (e *end) flow(held, fresh []byte) []byte {
+	if len(held) == 0 { // the usual case: nothing is copied twice
+		n := e.write(fresh)
+		return append(held, fresh[n:]...)
+	}
+	held = append(held, fresh...)
+	if n := e.write(held); n < len(held) {
+		return held[n:]
+	}
+	return held[:0]
+}
+
 func (e *end) send(s segment) {
 	n := e.n
 	s.at = n.now + n.way(e.host, e.peer.host, len(s.data))
@@ -247,7 +260,11 @@
 	}
 	for len(e.flight) > 0 && e.flight[0].at <= n.now {
 		s := e.flight[0]
-		e.flight = e.flight[1:]
+		if e.flight[0] = (segment{}); len(e.flight) > 1 {
+			e.flight = e.flight[1:]
+		} else {
+			e.flight = e.flight[:0] // its room is used again
+		}
 		switch {
 		case to.shut: // the kernel of a host that has closed answers with a reset
 			if len(s.data) > 0 && !e.over {
@@ -258,7 +275,11 @@
 		case s.fin:
 			to.told(false)
 		default:
-			to.inbox = append(to.inbox, s.data...)
+			if len(to.inbox) == 0 {
+				to.inbox = s.data // a copy of its own already
+			} else {
+				to.inbox = append(to.inbox, s.data...)
+			}
 			to.host.run(func() {
 				if !to.shut && len(to.inbox) > 0 && to.owner != nil {
 					to.owner.readable(to)
--- a/internal/virtual/peers.go
+++ b/internal/virtual/peers.go
@@ -147,13 +147,11 @@
 	if c.done {
 		return
 	}
-	c.out = append(c.out, c.c.Out...)
-	c.c.Out = c.c.Out[:0]
 	// Bytes that nobody asked for are told from an answer only if they come before the next request is sent: that is
 	// beyond what HTTP/1.1 lets a client know, and so they come with the answer that they follow.
 	c.e.whole = c.b.trails
-	n := c.e.write(c.out)
-	c.out = c.out[n:]
+	c.out = c.e.flow(c.out, c.c.Out)
+	c.c.Out = c.c.Out[:0]
 	if c.c.Close && len(c.out) == 0 {
 		abort := c.c.Abort
 		if abort { // what was written arrives, then the reset
@@ -238,8 +236,7 @@
 }
 
 func (c *vkeeperConn) writable(*end) {
-	n := c.e.write(c.out)
-	c.out = c.out[n:]
+	c.out = c.e.flow(c.out, nil)
 }
 
 func (c *vkeeperConn) closed(*end, bool) { c.end(false) }
--- a/internal/virtual/sim.go
+++ b/internal/virtual/sim.go
@@ -71,18 +71,23 @@
 // Sim is a run under way.
 type Sim struct {
 	*clock
-	opt       Options
-	script    *Script
-	cfg       *config.Config
-	net       *network
-	doors     []*vdoor
-	boxes     []*vbox
-	keeper    *vkeeper
-	world     *host // where clients are
-	check     *audit.Checker
-	findings  []Finding
-	reached   map[string]int
-	list      string
+	opt      Options
+	script   *Script
+	cfg      *config.Config
+	net      *network
+	doors    []*vdoor
+	boxes    []*vbox
+	keeper   *vkeeper
+	world    *host // where clients are
+	check    *audit.Checker
+	findings []Finding
+	reached  map[string]int
+	list     string
+	read     struct { // what the list came to when it was last read
+		text  string
+		boxes []config.Box
+		err   error
+	}
 	keyTTL    time.Duration
 	receiving int           // the door whose connection a box reads,
 	sent      time.Duration // and when the request on it was sent
@@ -267,6 +272,16 @@
 	s.tellDoors()
 }
 
+// parsed reads the list as it is now, once for all doors that read the same.
+func (s *Sim) parsed() ([]config.Box, error) {
+	r := &s.read
+	if r.boxes == nil && r.err == nil || r.text != s.list {
+		r.text = s.list
+		r.boxes, r.err = config.ParseBoxes("boxes.yaml", []byte(r.text))
+	}
+	return slices.Clone(r.boxes), r.err
+}
+
 func (s *Sim) tellDoors() {
 	rng := s.net.rng
 	for _, d := range s.doors {
