Virtual clock: boxes close idle lines, the keeper splits, reports lie below 0

Every server closes what idles, and the stand-in box never did, so that the guard for unsafe requests on old lines could not matter; load reports could be wrong but not impossible; the keeper could lose names but not be in two parts that each answer. What was served late now counts with the share that its class states, in simulator and drill alike.

--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -192,3 +192,18 @@
 		}
 	}
 }
+
+// A late answer has a share of the worth; an answer in time to a later try has the rest.
+func TestTallyLateShare(t *testing.T) {
+	first, second := try("a", Safe), try("b", Safe)
+	first.Op, second.Op = "o", "o"
+	first.Worth, second.Worth, first.Late, second.Late = 4, 4, 0.25, 0.25
+	ends := map[string]End{"a": {Ending: Served, At: first.Aim + 1}}
+	if p := Tally([]*Try{&first, &second}, ends)[0]; p.WorthAsked != 4 || p.WorthServed != 1 || p.Late != 1 {
+		t.Errorf("late: %+v", p)
+	}
+	ends["b"] = End{Ending: Served, At: second.Aim}
+	if p := Tally([]*Try{&first, &second}, ends)[0]; p.WorthAsked != 4 || p.WorthServed != 4 {
+		t.Errorf("late, then in time: %+v", p)
+	}
+}
--- a/internal/sockets/standins.go
+++ b/internal/sockets/standins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -260,7 +261,12 @@
 	k := &Keeper{standIn: standIn{start: time.Now(), peers: map[*peer]struct{}{}}, keeper: standin.NewKeeper()}
 	k.wake.L = &k.mu
 	k.ctx, k.stop = context.WithCancel(context.Background())
-	k.begin = func(p *peer) { p.keep = k.keeper.NewConn() }
+	served := 0.0
+	k.begin = func(p *peer) {
+		p.keep = k.keeper.NewConn()
+		_, p.keep.Of = math.Modf(served * (math.Sqrt(5) - 1) / 2) // a socket does not tell which front door it is
+		served++
+	}
 	k.gone = func(*peer) {}
 	k.feed = func(p *peer, in []byte) {
 		for k.keeper.Stalled() && !k.closed {
--- a/internal/virtual/asker.go
+++ b/internal/virtual/asker.go
@@ -115,7 +115,7 @@
 		work := time.Duration((0.3 + 0.7*rng.ExpFloat64()) * float64(s.script.Boxes.Work))
 		t := &try{rng: rng, studio: studio, op: op, work: min(work, 6*time.Duration(s.script.Boxes.Work))}
 		t.Try = audit.Try{Op: fmt.Sprintf("%d.%d", n, k), Studio: s.cfg.Studios[studio].Name, Plan: s.cfg.Studios[studio].Plan,
-			Repeat: audit.Repeat(class.Repeat), Units: 1, Work: t.work, Worth: class.Worth, Aim: class.Aim,
+			Repeat: audit.Repeat(class.Repeat), Units: 1, Work: t.work, Worth: class.Worth, Late: class.LateShare, Aim: class.Aim,
 			Patience: time.Duration((0.6 + 0.4*rng.Float64()) * float64(class.Deadline))}
 		if s.script.Clients.Body > 0 {
 			t.body = strings.Repeat("x", rng.IntN(s.script.Clients.Body+1))
--- a/internal/virtual/breed.go
+++ b/internal/virtual/breed.go
@@ -220,7 +220,7 @@
 			e.Value = min(e.Value, max(3, mostAsked*3/s.Rate))
 		case trouble.Slow:
 			e.Value = min(max(1, e.Value), 40)
-		case trouble.Fault, trouble.Quit, trouble.Drip, trouble.Noise, trouble.Part:
+		case trouble.Fault, trouble.Quit, trouble.Drip, trouble.Noise, trouble.Part, trouble.Split:
 			e.Value = min(1, e.Value)
 		}
 	}
--- a/internal/virtual/generate.go
+++ b/internal/virtual/generate.go
@@ -47,7 +47,7 @@
 	{trouble.Trail, "box", nil, 3 * time.Second},
 	{trouble.Fault, "box", between(0.2, 1), 4 * time.Second},
 	{trouble.Refuse, "box", nil, 4 * time.Second},
-	{trouble.Lie, "box", between(0, 8), 5 * time.Second},
+	{trouble.Lie, "box", between(-2, 8), 5 * time.Second},
 	{trouble.Stall, "box", nil, 3 * time.Second},
 	{trouble.Delay, "box", between(20, 900), 4 * time.Second},
 	{trouble.Silent, "keeper", nil, 5 * time.Second},
@@ -57,6 +57,7 @@
 	{trouble.Empty, "keeper", nil, 0},
 	{trouble.Old, "keeper", between(100, 5000), 0},
 	{trouble.Part, "keeper", between(0.1, 1), 5 * time.Second},
+	{trouble.Split, "keeper", between(0.2, 0.8), 5 * time.Second},
 	{trouble.Garble, "keeper", nil, 2 * time.Second},
 	{trouble.Kill, "keeper", nil, 3 * time.Second},
 	{trouble.Kill, "box", nil, 3 * time.Second},
@@ -113,6 +114,9 @@
 			n = own.IntN(p.Troubles/2 + 1)
 		}
 	}
+	if own := stream(seed, "idle"); own.IntN(4) == 0 { // many servers close what idles sooner than a front door does
+		s.Boxes.Idle = strict.Duration(time.Duration([]int{1200, 2000, 4000}[own.IntN(3)]) * time.Millisecond)
+	}
 	var on []kind
 	for len(on) == 0 {
 		share := rng.Float64()
--- a/internal/virtual/peers.go
+++ b/internal/virtual/peers.go
@@ -1,6 +1,7 @@
 package virtual
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -34,6 +35,7 @@
 	out  []byte
 	done bool
 	door int
+	used time.Duration // when bytes last came or went
 }
 
 // start begins a process; one that is started while the day runs is cold.
@@ -54,13 +56,36 @@
 	b.box.Facts = b.fact
 	b.conns = nil
 	b.host.alive, b.host.paused = true, false
-	b.host.accept = func(e *end) {
-		c := &vboxConn{b: b, e: e, c: b.box.NewConn(), door: s.doorOf(e.peer.host)}
-		e.owner = c
-		b.conns = append(b.conns, c)
+	b.host.accept = b.accepted
+}
+
+// accepted takes a connection in.
+func (b *vbox) accepted(e *end) {
+	c := &vboxConn{b: b, e: e, c: b.box.NewConn(), door: b.s.doorOf(e.peer.host), used: b.s.now}
+	e.owner = c
+	b.conns = append(b.conns, c)
+	if idle := time.Duration(b.s.script.Boxes.Idle); idle > 0 {
+		b.s.after(idle, func() { c.idles(idle) })
 	}
 }
 
+// idles closes a connection on which nothing has happened for a while, as servers do; a request may be on its way then.
+func (c *vboxConn) idles(after time.Duration) {
+	if c.done || !c.b.host.alive {
+		return
+	}
+	if left := c.used + after - c.b.s.now; left > 0 || c.c.Waits() {
+		c.b.s.after(max(left, after/2), func() { c.idles(after) })
+		return
+	}
+	c.b.host.run(func() {
+		if len(c.e.inbox) == 0 && !c.c.Waits() {
+			c.b.s.reach("box closed idle line")
+			c.end(false)
+		}
+	})
+}
+
 func (b *vbox) fact(f standin.Fact) {
 	s := b.s
 	s.note(string(f.Kind) + " " + f.ID + " " + f.Box)
@@ -83,11 +108,7 @@
 		}
 		return
 	}
-	b.host.accept = func(e *end) {
-		c := &vboxConn{b: b, e: e, c: b.box.NewConn(), door: b.s.doorOf(e.peer.host)}
-		e.owner = c
-		b.conns = append(b.conns, c)
-	}
+	b.host.accept = b.accepted
 }
 
 // after plans the box's next end of work.
@@ -133,6 +154,7 @@
 	if c.done {
 		return
 	}
+	c.used = c.b.s.now
 	c.b.s.receiving, c.b.s.sent = c.door, c.e.peer.began
 	c.c.Feed(c.b.s.now, c.e.read())
 	if !c.done {
@@ -149,7 +171,7 @@
 	}
 	// Bytes that nobody asked for are told from an answer only if they come before the next request is sent: that is
 	// beyond what HTTP/1.1 lets a client know, and so they come with the answer that they follow.
-	c.e.whole = c.b.trails
+	c.e.whole, c.used = c.b.trails, c.b.s.now
 	c.out = c.e.flow(c.out, c.c.Out)
 	c.c.Out = c.c.Out[:0]
 	if c.c.Close && len(c.out) == 0 {
@@ -179,6 +201,12 @@
 	}
 }
 
+// spread is a place in [0,1) for each number, such that neighbours lie apart (multiples of the golden ratio).
+func spread(number int) float64 {
+	_, x := math.Modf(float64(number+1) * (math.Sqrt(5) - 1) / 2)
+	return x
+}
+
 // vkeeper is the stand-in keeper in virtual time.
 type vkeeper struct {
 	s      *Sim
@@ -201,6 +229,7 @@
 	k.host.alive = true
 	k.host.accept = func(e *end) {
 		c := &vkeeperConn{k: k, e: e, c: k.k.NewConn()}
+		c.c.Of = spread(k.s.doorOf(e.peer.host))
 		e.owner = c
 		k.conns = append(k.conns, c)
 	}
--- a/internal/virtual/script.go
+++ b/internal/virtual/script.go
@@ -38,6 +38,7 @@
 	Cold    Cold            `yaml:"cold"`
 	Plans   float64         `yaml:"plans"`   // factor on the rates, bursts and ceilings of all plans
 	Soft    float64         `yaml:"soft"`    // what plans with a ceiling earn beyond their quota, as a share; 0: as configured
+	Late    float64         `yaml:"late"`    // share of its worth that a late answer has, in all classes but streams; 0: as configured
 	KeyTTL  strict.Duration `yaml:"key-ttl"` // of all keyed classes; 0: as configured
 	Net     Net             `yaml:"net"`
 	Drift   float64         `yaml:"drift"` // clocks of doors run fast or slow by up to this share
@@ -53,6 +54,7 @@
 	Cores int             `yaml:"cores"`
 	Queue int             `yaml:"queue"`
 	Cells int             `yaml:"cells"` // 2 or more: keyed repeats are discarded within one of so many cells only
+	Idle  strict.Duration `yaml:"idle"`  // they close connections on which nothing has happened for so long; 0: never
 	Work  strict.Duration `yaml:"work"`  // mean work of a request
 	Body  int             `yaml:"body"`  // bytes of an answer's
 }
@@ -130,6 +132,7 @@
 	check("cold.share", s.Cold.Share, 0, 1)
 	check("cold.factor", s.Cold.Factor, 0, 100)
 	check("soft", s.Soft, 0, 1000)
+	check("late", s.Late, 0, 1)
 	check("plans", s.Plans, 0.001, 1000)
 	check("net.jitter", s.Net.Jitter, 0, 100)
 	check("net.split", s.Net.Split, 0, 0.95)
@@ -174,6 +177,9 @@
 	if s.Boxes.Cells > 1 {
 		fmt.Fprintf(&b, ", cells: %d", s.Boxes.Cells)
 	}
+	if s.Boxes.Idle != 0 {
+		fmt.Fprintf(&b, ", idle: %v", time.Duration(s.Boxes.Idle))
+	}
 	b.WriteString("}\n")
 	if c := s.Cold; c != (Cold{}) {
 		fmt.Fprintf(&b, "cold: {share: %s, time: %v, factor: %s, over: %v}\n", f(c.Share), time.Duration(c.Time), f(c.Factor), time.Duration(c.Over))
@@ -184,6 +190,9 @@
 	if s.Soft != 0 {
 		fmt.Fprintf(&b, "soft: %s\n", f(s.Soft))
 	}
+	if s.Late != 0 {
+		fmt.Fprintf(&b, "late: %s\n", f(s.Late))
+	}
 	if s.KeyTTL != 0 {
 		fmt.Fprintf(&b, "key-ttl: %v\n", time.Duration(s.KeyTTL))
 	}
@@ -220,6 +229,9 @@
 		if k := &set.Classes[i]; k.Repeat == choice.Keyed && s.KeyTTL > 0 {
 			k.KeyTTL = time.Duration(s.KeyTTL)
 		}
+		if k := &set.Classes[i]; s.Late > 0 && !k.Stream {
+			k.LateShare = s.Late
+		}
 		if k := &set.Classes[i]; k.Repeat == choice.Keyed && s.Boxes.Cells > 1 {
 			k.Scope = choice.ScopeCell
 		}
--- a/internal/virtual/shapes.go
+++ b/internal/virtual/shapes.go
@@ -176,7 +176,7 @@
 	}
 	for range d.rng.IntN(4) {
 		e := trouble.Event{For: d.ms(200, 4000), Target: "keeper", Verb: []trouble.Verb{trouble.Silent, trouble.Empty, trouble.Refuse, trouble.Delay, trouble.Stall,
-			trouble.Kill, trouble.Old, trouble.Part}[d.rng.IntN(8)]}
+			trouble.Kill, trouble.Old, trouble.Part, trouble.Split}[d.rng.IntN(9)]}
 		switch e.Verb {
 		case trouble.Empty:
 			e.For = 0
@@ -184,6 +184,8 @@
 			e.For, e.Value = 0, d.between(200, 3000)
 		case trouble.Part:
 			e.Value = d.between(0.2, 1)
+		case trouble.Split:
+			e.Value = d.between(0.2, 0.8)
 		case trouble.Delay:
 			e.Value = d.between(20, 300)
 		}
--- a/internal/virtual/shapes_test.go
+++ b/internal/virtual/shapes_test.go
@@ -93,3 +93,41 @@
 		}
 	}
 }
+
+// Boxes that close what idles, and a keeper whose parts do not see each other, break no rule; a script that has them says
+// so in its text.
+func TestIdleLinesAndSplitKeeper(t *testing.T) {
+	text := `version: 1
+seed: 1
+seconds: 8
+doors: 4
+rate: 25
+late: 0.5
+boxes: {count: 3, work: 15ms, idle: 1.2s}
+net: {latency: 20ms}
+troubles:
+  - {at: 2s, for: 3s, verb: split, target: keeper, value: 0.5}
+  - {at: 3s, for: 2s, verb: lie, target: boxes, value: -2}
+  - {at: 3s, for: 2s, verb: surge, target: school, value: 8}
+`
+	s, err := ReadScript("split.yaml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := ReadScript("again.yaml", []byte(s.Text()))
+	if err != nil || again.Text() != s.Text() || again.Boxes.Idle != s.Boxes.Idle || again.Late != s.Late {
+		t.Fatalf("%v\n%s\n%s", err, s.Text(), again.Text())
+	}
+	o, err := Run(s, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range o.Findings {
+		t.Errorf("%s: %s", f.Rule, f.What)
+	}
+	for _, what := range []string{"box closed idle line", "trouble split", "trouble lie"} {
+		if o.Reached[what] == 0 {
+			t.Errorf("%s: not reached", what)
+		}
+	}
+}
--- a/internal/virtual/sim.go
+++ b/internal/virtual/sim.go
@@ -51,7 +51,7 @@
 	Verdict  audit.Verdict
 	Reached  map[string]int
 	Tries    int
-	Worth    float64 // of what was served in time
+	Worth    float64 // of what was served; late answers by their share
 	Asked    float64 // worth of all that was asked for
 	Calls    uint64  // that the keeper counted
 }
@@ -164,7 +164,7 @@
 	o.Digest = s.sum.Sum64()
 	o.Verdict = audit.Judge(s.check, audit.Tally(s.tries, s.ends))
 	for _, p := range o.Verdict.Plans {
-		o.Worth, o.Asked = o.Worth+p.WorthServedInTime, o.Asked+p.WorthAsked
+		o.Worth, o.Asked = o.Worth+p.WorthServed, o.Asked+p.WorthAsked
 	}
 	if s.keeper != nil {
 		o.Calls = s.keeper.calls + s.keeper.k.Calls
--- a/internal/virtual/sweep.go
+++ b/internal/virtual/sweep.go
@@ -13,6 +13,7 @@
 type Sweep struct {
 	First, Last uint64
 	Profile     Profile
+	Script      *Script // that each seed plays; nil: each draws its own
 	Options     Options
 	Workers     int
 	GoOn        bool              // after the first broken rule
@@ -42,7 +43,7 @@
 	Shapes   map[string]int    `json:"shapes"`
 	Excuses  map[string]int    `json:"excuses"`  // cases that a check let pass, by reason
 	Nearness [][nearBins]int   `json:"nearness"` // runs by rule and twentieth of its limit, the last beyond it
-	Worth    []float64         `json:"worth"`    // served in time, by seed
+	Worth    []float64         `json:"worth"`    // served, by seed
 	Calls    []uint64          `json:"calls"`    // of the keeper, by seed
 	Pairs    map[[2]string]int `json:"-"`        // of troubles that met in a run
 }
@@ -71,7 +72,7 @@
 				if seed > w.Last {
 					return
 				}
-				s := Generate(seed, w.Profile)
+				s := w.script(seed)
 				o, err := Run(s, w.Options)
 				mu.Lock()
 				if err != nil {
@@ -101,6 +102,16 @@
 	return r, failure
 }
 
+// script is what a seed plays.
+func (w Sweep) script(seed uint64) *Script {
+	if w.Script == nil {
+		return Generate(seed, w.Profile)
+	}
+	s := *w.Script
+	s.Seed, s.Number, s.Events = seed, int(seed), slices.Clone(s.Events)
+	return &s
+}
+
 func (r *Swept) add(seed, i uint64, s *Script, o Outcome) {
 	r.Seeds++
 	r.Events, r.Tries, r.Virtual = r.Events+o.Events, r.Tries+uint64(o.Tries), r.Virtual+o.Virtual
--- a/standin/boxconn.go
+++ b/standin/boxconn.go
@@ -165,5 +165,8 @@
 	}
 }
 
+// Waits tells that a request is in work or queued, so that the connection is not idle.
+func (c *BoxConn) Waits() bool { return c.waits }
+
 // Conn is the connection that a job came on.
 func (j *Job) Conn() *BoxConn { return j.conn }
--- a/standin/keeper.go
+++ b/standin/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"math"
 	"strconv"
 	"strings"
@@ -17,8 +18,10 @@
 	totals map[string]total
 	sweep  time.Duration
 	faults map[trouble.Verb]float64
-	past   []change // of the last remembered, for totals that come back old
-	Calls  uint64   // INCRBYFLOATs that were counted
+	past   []change         // of the last remembered, for totals that come back old
+	copied map[string]total // what the other side of a split holds; nil while there is none
+	aside  bool             // a command of the other side is carried out
+	Calls  uint64           // INCRBYFLOATs that were counted
 }
 
 type total struct {
@@ -42,6 +45,9 @@
 
 // note keeps what a total was.
 func (k *Keeper) note(now time.Duration, name string) {
+	if k.aside {
+		return // that side is lost in the end
+	}
 	was, had := k.totals[name]
 	if n := len(k.past); n >= mostChanges || n > 1024 && k.past[n/2].at < now-remembered {
 		k.past = append(k.past[:0], k.past[n/2:]...)
@@ -74,6 +80,11 @@
 		k.past = nil
 	case v == trouble.Old && on:
 		k.back(now - time.Duration(value*float64(time.Millisecond)))
+	case v == trouble.Split && on:
+		k.copied, k.faults[v] = maps.Clone(k.totals), value
+	case v == trouble.Split:
+		k.copied = nil
+		delete(k.faults, v)
 	case on:
 		k.faults[v] = value
 	default:
@@ -111,6 +122,7 @@
 type KeeperConn struct {
 	Out    []byte // for the peer, to be written and cut off by the owner
 	Close  bool
+	Of     float64 // where its client stands among all, in [0,1): which side of a split it is on; set by the owner
 	keeper *Keeper
 	rd     resp.Reader
 }
@@ -130,8 +142,14 @@
 		if err != nil || !whole {
 			return
 		}
-		at := len(c.Out)
-		c.command(now, v)
+		at, k := len(c.Out), c.keeper
+		if aside := k.copied != nil && c.Of < k.faults[trouble.Split]; aside {
+			k.totals, k.copied, k.aside = k.copied, k.totals, true
+			c.command(now, v)
+			k.totals, k.copied, k.aside = k.copied, k.totals, false
+		} else {
+			c.command(now, v)
+		}
 		if _, silent := c.keeper.faults[trouble.Silent]; silent {
 			c.Out = c.Out[:at]
 		}
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -160,6 +160,32 @@
 	}
 }
 
+// The sides of a split count on from the same totals, each by itself; in the end one of them is lost.
+func TestKeeperSplits(t *testing.T) {
+	k := NewKeeper()
+	here, there := k.NewConn(), k.NewConn()
+	here.Of, there.Of = 0.9, 0.1
+	add := func(c *KeeperConn) string {
+		c.Out = nil
+		c.Feed(time.Second, resp.AppendCommand(nil, "INCRBYFLOAT", "a", "1"))
+		return strings.Split(string(c.Out), "\r\n")[1]
+	}
+	add(here)
+	add(there)
+	k.Set(time.Second, trouble.Split, 0.5, true)
+	if a, b, c := add(there), add(there), add(here); a != "3" || b != "4" || c != "3" {
+		t.Errorf("%s and %s on one side, %s on the other", a, b, c)
+	}
+	k.Set(time.Second, trouble.Split, 0.5, false)
+	if a, b := add(there), add(here); a != "4" || b != "5" {
+		t.Errorf("%s and %s afterwards", a, b)
+	}
+	k.Set(time.Second, trouble.Old, 1000, true)
+	if x := k.Total(time.Second, "a"); x != 0 {
+		t.Errorf("%v after all was undone", x)
+	}
+}
+
 func TestKeeperExpiry(t *testing.T) {
 	k := NewKeeper()
 	c := k.NewConn()
--- a/trouble/trouble.go
+++ b/trouble/trouble.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -23,7 +24,7 @@
 	Fault  Verb = "fault"  // requests are answered 500 at once, unworked; value is their share
 	Refuse Verb = "refuse" // connections are refused, those there are closed; of the keeper, too
 	Trail  Verb = "trail"  // each answer is followed by another that nobody asked for
-	Lie    Verb = "lie"    // load reports are value times the truth
+	Lie    Verb = "lie"    // load reports are value times the truth; below 0 they are what no box can have
 	Stall  Verb = "stall"  // everything stands still, and goes on where it was; of the keeper, too
 	// Of the tally keeper.
 	Silent Verb = "silent" // calls are counted and not answered
@@ -31,6 +32,7 @@
 	Empty  Verb = "empty"  // all totals are lost, at once
 	Old    Verb = "old"    // totals go back to what they were value milliseconds ago, at once
 	Part   Verb = "part"   // calls for a share of the names, value, are refused
+	Split  Verb = "split"  // a share of the front doors, value, is served by a copy that does not see the others; it is lost at the end
 	// Of processes and the list.
 	Kill    Verb = "kill"    // the process ends at once and starts anew after the duration; cold, if a box
 	Drain   Verb = "drain"   // the list says draining; after the duration the box is gone
@@ -55,11 +57,11 @@
 	Noise Verb = "noise" // a share of the clients, value, send what is no request
 )
 
-var verbs = []Verb{Slow, Hang, Reset, Lose, Fault, Refuse, Trail, Lie, Stall, Silent, Delay, Empty, Old, Part, Kill, Drain, Replace, Leave,
+var verbs = []Verb{Slow, Hang, Reset, Lose, Fault, Refuse, Trail, Lie, Stall, Silent, Delay, Empty, Old, Part, Split, Kill, Drain, Replace, Leave,
 	Surge, Move, Quit, Drip, Noise, Partition, Oneway, Lag, Throttle, Deaf, Pause, Descriptors, Torn, Garble}
 
 // valued lists the verbs that need a value.
-var valued = []Verb{Slow, Lie, Delay, Old, Part, Surge, Quit, Drip, Noise, Lag, Throttle, Descriptors}
+var valued = []Verb{Slow, Lie, Delay, Old, Part, Split, Surge, Quit, Drip, Noise, Lag, Throttle, Descriptors}
 
 // Event is one trouble of a script: a verb, whom it meets, when and for how long.
 type Event struct {
@@ -87,7 +89,7 @@
 		return v, 0, nil
 	}
 	x, err := strconv.ParseFloat(strings.TrimSpace(rest), 64)
-	if err != nil || !(x >= 0) || x > 1e9 {
+	if err != nil || !(x >= 0) && v != Lie || !(math.Abs(x) <= 1e9) {
 		return "", 0, fmt.Errorf("%s: %q: expected a number, 0 or more", v, rest)
 	}
 	return v, x, nil
