--- a/internal/cli/mutants.go
+++ b/internal/cli/mutants.go
@@ -29,6 +29,7 @@
 	Worth   uint64   `default:"400" help:"Seeds over which the cost of those that no rule sees is compared."`
 	Workers int      `help:"Searches side by side; as many as there are processors if absent."`
 	Scripts bool     `help:"Only play the scripts that are known to find a mistake: each must find it, and nothing without it."`
+	Days    uint64   `placeholder:"N" help:"Only play the days on which a defence that no rule sees matters, each with seeds 1 to N, with and without it."`
 	List    bool     `help:"Only print the list."`
 	JSON    bool     `help:"Print the outcome as JSON."`
 }
@@ -60,7 +61,7 @@
 		}
 	}
 	all = slices.DeleteFunc(all, func(m mutants.Mutant) bool {
-		return len(r.Only) > 0 && !slices.Contains(r.Only, m.Name) || r.Scripts && m.Script == ""
+		return len(r.Only) > 0 && !slices.Contains(r.Only, m.Name) || r.Scripts && m.Script == "" || r.Days > 0 && m.Day == ""
 	})
 	if r.List {
 		w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
@@ -84,9 +85,12 @@
 	if r.Scripts {
 		return r.playScripts(c, dir, whole, all)
 	}
+	if r.Days > 0 {
+		return r.playDays(c, dir, whole, all)
+	}
 	var base virtual.Swept
 	if slices.ContainsFunc(all, func(m mutants.Mutant) bool { return m.Rule == mutants.Worth }) {
-		if base, err = r.sweep(whole, r.First, r.Worth, r.Workers, true); err != nil {
+		if base, err = r.sweep(whole, r.First, r.Worth, r.Workers, true, ""); err != nil {
 			return err
 		}
 	}
@@ -155,12 +159,15 @@
 	return to, r.build(to, overlay)
 }
 
-// sweep runs a simulator over seeds.
-func (r simMutants) sweep(program string, first, n uint64, workers int, goOn bool) (virtual.Swept, error) {
+// sweep runs a simulator over seeds, each with its own script or all with one.
+func (r simMutants) sweep(program string, first, n uint64, workers int, goOn bool, script string) (virtual.Swept, error) {
 	args := []string{"run", "--json", "--quiet", "--workers", fmt.Sprint(workers), "--seeds", fmt.Sprintf("%d-%d", first, first+n-1)}
 	if goOn {
 		args = append(args, "--go-on")
 	}
+	if script != "" {
+		args = append(args, "--script", script)
+	}
 	cmd := exec.Command(program, args...)
 	var text, errs bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &text, &errs
@@ -186,7 +193,7 @@
 	}
 	defer os.Remove(program)
 	if m.Rule == mutants.Worth {
-		o, err := r.sweep(program, r.First, r.Worth, 1, true)
+		o, err := r.sweep(program, r.First, r.Worth, 1, true, "")
 		if err != nil {
 			s.Failure = err.Error()
 			return s
@@ -195,21 +202,12 @@
 		if len(s.Found) > 1 {
 			s.Found = s.Found[:1]
 		}
-		calls := [2][]float64{make([]float64, r.Worth), make([]float64, r.Worth)}
-		sum, asked := 0.0, 0.0
-		for i := range r.Worth {
-			calls[0][i], calls[1][i] = float64(base.Calls[i]), float64(o.Calls[i])
-			sum, asked = sum+base.Worth[i], asked+float64(base.Calls[i])
-		}
-		mean, units := noise(base.Worth, o.Worth)
-		s.Worth, s.WorthU = mean*float64(r.Worth)/max(1, sum), units
-		mean, units = noise(calls[0], calls[1])
-		s.Calls, s.CallsU = mean*float64(r.Worth)/max(1, asked), units
+		s.compare(base, o)
 		return s
 	}
 	for k := range r.Starts {
 		first := r.First + uint64(k)*1_000_003
-		o, err := r.sweep(program, first, r.Seeds, 1, false)
+		o, err := r.sweep(program, first, r.Seeds, 1, false, "")
 		if err != nil {
 			s.Failure = err.Error()
 			return s
@@ -222,6 +220,21 @@
 	return s
 }
 
+// compare takes over what a mistake costs on the same days.
+func (s *searched) compare(whole, without virtual.Swept) {
+	n := len(whole.Worth)
+	calls := [2][]float64{make([]float64, n), make([]float64, n)}
+	sum, asked := 0.0, 0.0
+	for i := range n {
+		calls[0][i], calls[1][i] = float64(whole.Calls[i]), float64(without.Calls[i])
+		sum, asked = sum+whole.Worth[i], asked+float64(whole.Calls[i])
+	}
+	mean, units := noise(whole.Worth, without.Worth)
+	s.Worth, s.WorthU = mean*float64(n)/max(1, sum), units
+	mean, units = noise(calls[0], calls[1])
+	s.Calls, s.CallsU = mean*float64(n)/max(1, asked), units
+}
+
 // verdict says in words what became of a mistake.
 func (s searched) verdict() string {
 	switch {
@@ -267,6 +280,44 @@
 	return w.Flush()
 }
 
+// telling is by how many standard errors a day must tell a defence from its absence.
+const telling = 3.0
+
+// playDays holds each day on which a defence matters to that: without it less worth is served, or the keeper is asked
+// more, beyond chance, and the day breaks no rule with it.
+func (r simMutants) playDays(c *Console, dir, whole string, all []mutants.Mutant) error {
+	if r.Days < 2 {
+		return errors.New("--days 1: chance needs two seeds at least")
+	}
+	var same []string
+	for _, m := range all {
+		program, err := r.plant(dir, m)
+		if err != nil {
+			return err
+		}
+		day := filepath.Join(r.Root, "internal", "virtual", "testdata", m.Day)
+		var o [2]virtual.Swept
+		for i, p := range []string{whole, program} {
+			if o[i], err = r.sweep(p, 1, r.Days, r.Workers, true, day); err != nil {
+				return err
+			}
+		}
+		if len(o[0].Finds) > 0 {
+			return fmt.Errorf("%s breaks a rule with the defence, seed %d: %s", m.Day, o[0].Finds[0].Seed, o[0].Finds[0].What)
+		}
+		s := searched{Name: m.Name, Rule: m.Rule}
+		s.compare(o[0], o[1])
+		fmt.Fprintf(c.Out, "%s: %s\n", m.Name, s.verdict())
+		if s.WorthU > -telling && s.CallsU < telling {
+			same = append(same, m.Name)
+		}
+	}
+	if len(same) > 0 {
+		return fmt.Errorf("their days don't tell these from the whole: %s", strings.Join(same, ", "))
+	}
+	return nil
+}
+
 // playScripts holds each script that finds a mistake to that, and to finding nothing without it.
 func (r simMutants) playScripts(c *Console, dir, whole string, all []mutants.Mutant) error {
 	begun := time.Now()
--- a/internal/cli/sim.go
+++ b/internal/cli/sim.go
@@ -93,6 +93,7 @@
 type simRun struct {
 	simCommon
 	Seeds    string `default:"1-200" help:"Seeds, as FROM-TO."`
+	Script   string `type:"existingfile" help:"Play this script with each seed, instead of drawing scripts." placeholder:"FILE"`
 	Workers  int    `help:"Runs side by side; as many as there are processors if absent."`
 	GoOn     bool   `help:"Go on after the first broken rule."`
 	Coverage bool   `default:"true" negatable:"" help:"Print what was reached."`
@@ -115,16 +116,22 @@
 	if err != nil {
 		return err
 	}
+	var script *virtual.Script
+	if r.Script != "" {
+		if script, opt, err = r.script(r.Script); err != nil {
+			return err
+		}
+	}
 	if r.Workers <= 0 {
 		r.Workers = runtime.GOMAXPROCS(0)
 	}
 	debug.SetGCPercent(400) // runs are short and their garbage is all they leave
 	begun, total, broken := time.Now(), last-first+1, 0
-	w := virtual.Sweep{First: first, Last: last, Profile: r.profile(), Options: opt, Workers: r.Workers, GoOn: r.GoOn}
+	w := virtual.Sweep{First: first, Last: last, Profile: r.profile(), Script: script, Options: opt, Workers: r.Workers, GoOn: r.GoOn}
 	if !r.JSON {
 		w.Found = func(f virtual.Find) {
 			broken++
-			fmt.Fprintf(c.Out, "seed %d: %s, at %v: %s\n  again: sandyard-sim replay %d%s\n", f.Seed, f.Rule, f.At, f.What, f.Seed, r.flags())
+			fmt.Fprintf(c.Out, "seed %d: %s, at %v: %s\n  again: %s\n", f.Seed, f.Rule, f.At, f.What, r.again(f.Seed))
 		}
 	}
 	if !r.Quiet {
@@ -161,6 +168,14 @@
 	return nil
 }
 
+// again is the command that plays a seed of the sweep once more, with its log.
+func (r simRun) again(seed uint64) string {
+	if r.Script != "" {
+		return fmt.Sprintf("sandyard-sim run --script %s --seeds %d", r.Script, seed)
+	}
+	return fmt.Sprintf("sandyard-sim replay %d%s", seed, r.flags())
+}
+
 func (c simCommon) flags() string {
 	s := ""
 	if c.Config != "" {
--- a/internal/mutants/mutants.go
+++ b/internal/mutants/mutants.go
@@ -28,6 +28,7 @@
 	Because string   `yaml:"because"` // of those that no rule sees alone: why
 	With    []string `yaml:"with"`    // other mistakes that are made together with it
 	Script  string   `yaml:"script"`  // a file beside the simulator's tests that finds it
+	Day     string   `yaml:"day"`     // for those of Worth: a file there on whose day the defence matters
 	Edits   []Edit   `yaml:"edits"`
 }
 
--- a/internal/mutants/mutants_test.go
+++ b/internal/mutants/mutants_test.go
@@ -36,11 +36,17 @@
 		if m.Guards == "" {
 			t.Errorf("%s: what does it guard against?", m.Name)
 		}
-		if m.Script != "" {
-			if _, err := os.Stat("../virtual/testdata/" + m.Script); err != nil {
+		for _, file := range []string{m.Script, m.Day} {
+			if file == "" {
+				continue
+			}
+			if _, err := os.Stat("../virtual/testdata/" + file); err != nil {
 				t.Error(err)
 			}
 		}
+		if m.Day != "" && m.Rule != Worth {
+			t.Errorf("%s: a day of worth, though a rule sees it", m.Name)
+		}
 	}
 	if len(all) < 30 {
 		t.Errorf("%d mistakes only", len(all))
