--- a/choice/choice.go
+++ b/choice/choice.go
@@ -61,8 +61,6 @@
 	healthPrior    = 0.5                    // attempts that the rate of failures anywhere counts beside them
 	riskCost       = 1.0                    // a sure failure as a wait, in aims
 	stallTimes     = 4.0                    // silence, in usual latencies, after which a server is suspected
-	retryShare     = 0.2                    // further attempts per first attempt
-	retryBurst     = 3.0                    // further attempts at once
 	patience       = 8.0                    // deviations above the mean latency that an attempt may take
 	keySafe        = 0.9                    // share of a key's life that is relied on, for drift and the way
 	smoothing      = 0.05                   // weight of a new latency
@@ -86,7 +84,7 @@
 	set.MostUnits = max(1, set.MostUnits)
 	set.Plans = append(slices.Clone(set.Plans), Plan{Price: 1}) // for plans that were not described
 	random := rand.NewPCG(seed, 0)
-	g := &Gateway{set: set, random: random, rng: rand.New(random), now: now, budget: retryBurst,
+	g := &Gateway{set: set, random: random, rng: rand.New(random), now: now,
 		asking: 1, customers: map[string]*customer{}, calls: map[string][]call{},
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}}
 	few := average{least: fewest, window: window.Seconds(), fade: linger.Seconds(), at: now}
@@ -772,7 +770,6 @@
 		return
 	}
 	l.work += g.latency[r.class].mean
-	g.budget = min(retryBurst, g.budget+retryShare)
 	if told && inside {
 		g.told.add(1, g.now)
 		r.told = true
@@ -813,7 +810,7 @@
 // timeout gives up an attempt when another could still be in time, and else leaves it all that is left.
 func (g *Gateway) timeout(r *request, left time.Duration) time.Duration {
 	class := g.set.Classes[r.class]
-	if class.Repeat == Unsafe || class.Stream || len(r.attempts) >= g.set.MaxAttempts || g.budget < 1 {
+	if class.Repeat == Unsafe || class.Stream || len(r.attempts) >= g.set.MaxAttempts {
 		return left
 	}
 	l := g.latency[r.class]
@@ -863,7 +860,6 @@
 	case e.Settled || e.Outcome == OK:
 		g.end(r, false)
 	case g.mayRetry(r, class):
-		g.budget--
 		g.send(r)
 	default:
 		g.end(r, true)
@@ -887,9 +883,9 @@
 // safe is how long a keyed class's repeats are sure to be discarded.
 func safe(c Class) time.Duration { return time.Duration(keySafe * float64(c.KeyTTL)) }
 
-// mayRetry tells whether a further attempt is harmless, affordable and of use.
+// mayRetry tells whether a further attempt is harmless and of use. What it adds to the load, the loops hear of.
 func (g *Gateway) mayRetry(r *request, class Class) bool {
-	if len(r.attempts) >= g.set.MaxAttempts || g.budget < 1 || r.streaming {
+	if len(r.attempts) >= g.set.MaxAttempts || r.streaming {
 		return false
 	}
 	if r.ran && (class.Repeat == Unsafe || class.Repeat == Keyed && g.now >= r.ranSent+safe(class)) {
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -20,7 +20,7 @@
 	Good, Ends        float64
 	Short             bool
 	Latency           [][2]float64
-	Asking, Budget    float64
+	Asking            float64
 	Crowded           time.Duration
 	Open, Turn, Swept int
 	Subscribe         bool
@@ -146,7 +146,7 @@
 func (g *Gateway) Snapshot() (State, error) {
 	random, err := g.random.MarshalBinary()
 	m := &g.sensor
-	s := State{Random: random, Now: g.now, Sampled: m.sampled, Asking: g.asking, Budget: g.budget, Crowded: g.crowded, Open: g.open,
+	s := State{Random: random, Now: g.now, Sampled: m.sampled, Asking: g.asking, Crowded: g.crowded, Open: g.open,
 		Turn: g.turn, Swept: g.swept, Subscribe: g.subscribe, Told: g.told.state(), Pace: g.pace.state(), Good: g.good, Ends: g.ends, Short: g.short,
 		Sensor: [5]AverageState{m.line.state(), m.use.state(), m.took.state(), m.place.state(), m.bad.state()}}
 	for _, l := range g.loops {
@@ -254,7 +254,7 @@
 	g.told.restore(s.Told)
 	g.pace.restore(s.Pace)
 	g.good, g.ends, g.short = s.Good, s.Ends, s.Short
-	g.asking, g.budget, g.crowded, g.open, g.turn, g.swept, g.subscribe = s.Asking, s.Budget, s.Crowded, s.Open, s.Turn, s.Swept, s.Subscribe
+	g.asking, g.crowded, g.open, g.turn, g.swept, g.subscribe = s.Asking, s.Crowded, s.Open, s.Turn, s.Swept, s.Subscribe
 	customers := make([]*customer, len(s.Customers))
 	for i, c := range s.Customers {
 		if !within(c.Plan, len(g.quotas)) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -35,7 +35,6 @@
 	requests  map[RequestID]*request
 	latency   []latency // by class
 	failing   []average // share of attempts that failed, by class
-	budget    float64   // further attempts that may be made
 	open      int       // attempts out
 	turn      int       // of probing
 	swept     int       // place in roll
