--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,7 +17,6 @@
 	period         = 300 * time.Millisecond // T of the loops: several service times, few per trouble
 	margin         = 20.0                   // G, gain margin of the loops
 	offeredOver    = 2 * time.Second        // smoothing of the work asked for and granted
-	leastAdmit     = 0.01                   // least f: a trickle that keeps the sensor alive
 	justBelow      = 0.95                   // set point, as a share of the load where servers refuse
 	mostOver       = 1.3                    // U is read up to this: a jam is not more urgent for being long
 	slowest        = 0.4                    // expected wait, as a share of the aim, that counts as full load
@@ -273,7 +272,7 @@
 		e := left - own
 		pmax := justBelow * max(l.asked, total/20) / max(total, 1e-9)
 		kp := math.Sqrt(3) / (2 * margin * pmax)
-		l.f = min(1, max(leastAdmit, l.f+kp*(e-l.err+ki*t*e)))
+		l.f = min(1, max(0, l.f+kp*(e-l.err+ki*t*e)))
 		l.err, l.work, l.asked = e, l.work*keep, l.asked*keep
 		left -= own
 	}
