A keeper that lost its totals passes nothing on beyond the ceiling's split for a while

A gateway that hears of less than half of what it last heard, faded, lets nothing in by asking beyond its split until that has faded. Shapes also get crowds of front doors before few cold boxes, slow lines at the end of keys, and large answers that flow and break.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,6 +36,7 @@
 	trust          = 0.5                    // how long the rest of a quota is relied on, in its times
 	openFade       = 1.0                    // fading time of attempts out that were never taken back, in aims
 	askedPart      = 0.35                   // share of a ceiling that may be passed on by asking alone
+	forgotten      = 0.5                    // share of a total as heard, faded, below which it was lost
 	mostFades      = 45.0                   // life of a counter name in fading times, short of overflow
 	mostLife       = 50 * time.Second       // but no longer
 	mostWait       = 1.0                    // seconds until a customer beyond its quota is asked about again
@@ -489,6 +490,10 @@
 		g.admit(k.r, in, false)
 		return
 	}
+	last := c.total * math.Exp(-(g.now-c.heard).Seconds()/c.quota.fade)
+	if c.heard > 0 && total/k.weight < forgotten*last { // it lets in too much until earlier use has faded
+		c.wary = g.now + time.Duration(c.quota.fade*float64(time.Second))
+	}
 	c.total, c.heard = total/k.weight, g.now
 	if k.r == nil || k.r.ended {
 		return
@@ -508,7 +513,8 @@
 			g.takeBack(k.r)
 		}
 	}
-	if p := g.set.Plans[c.plan]; in && !c.ceilingHolds(p, units) && before+units > askedPart*p.CeilingBurst {
+	p := g.set.Plans[c.plan]
+	if in && !c.ceilingHolds(p, units) && (g.now < c.wary || before+units > askedPart*p.CeilingBurst) {
 		k.r.why = OverQuota
 		g.takeBack(k.r)
 		g.end(k.r, true)
@@ -882,7 +888,7 @@
 // safe is how long a keyed class's repeats are sure to be discarded.
 func safe(c Class) time.Duration { return time.Duration(keySafe * float64(c.KeyTTL)) }
 
-// mayRetry tells whether a further attempt is harmless and of use. What it adds to the load, the loops hear of.
+// mayRetry tells whether a further attempt is harmless and of use. What it adds to the load, the loops see.
 func (g *Gateway) mayRetry(r *request, class Class) bool {
 	if len(r.attempts) >= g.set.MaxAttempts || r.streaming {
 		return false
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -468,6 +468,36 @@
 	}
 }
 
+// Of a ceiling no part is passed on by asking a counter that lost what it was told, until the use before has faded.
+func TestCounterThatForgets(t *testing.T) {
+	set := basic()
+	set.Gateways = 2
+	set.Plans = []choice.Plan{{Rate: 36, Burst: 36, Price: 1, CeilingRate: 40, CeilingBurst: 40, CeilingSlack: 4}}
+	b := start(t, set, time.Minute, up(1, 2, 3, 4)...)
+	total := 0.0
+	b.counter = func(a choice.Count) (choice.Outcome, float64) {
+		total += a.Amount
+		return choice.OK, total
+	}
+	letIn := func() (n int) {
+		for range 40 {
+			if id, s, sent := b.ask("a", 0, 2); sent {
+				n++
+				b.answer(id, s, choice.OK)
+			}
+		}
+		return n
+	}
+	first := letIn()
+	total = 0
+	second := letIn()
+	b.wait(time.Second) // what it fades by
+	third := letIn()
+	if first < 10 || second > 0 || third < 10 {
+		t.Errorf("%d, then %d once the counter has forgotten, then %d", first, second, third)
+	}
+}
+
 func TestBadSettings(t *testing.T) {
 	for _, change := range []func(*choice.Settings){
 		func(s *choice.Settings) { s.Classes = nil },
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -52,7 +52,7 @@
 	Asks, Queued          bool
 	Used, At              time.Duration
 	Level, Ceiling, Total float64
-	Heard, Next           time.Duration
+	Heard, Next, Wary     time.Duration
 	Fresh, Seen           float64
 	AddAt                 time.Duration
 	Open                  int
@@ -261,7 +261,7 @@
 			return nil, errState
 		}
 		customers[i] = &customer{id: c.ID, hash: hash(c.ID), spread: c.Spread, plan: c.Plan, quota: &g.quotas[c.Plan], asks: c.Asks, queued: c.Queued,
-			used: c.Used, at: c.At, level: c.Level, ceiling: c.Ceiling, total: c.Total, heard: c.Heard, next: c.Next, fresh: c.Fresh, seen: c.Seen,
+			used: c.Used, at: c.At, level: c.Level, ceiling: c.Ceiling, total: c.Total, heard: c.Heard, next: c.Next, wary: c.Wary, fresh: c.Fresh, seen: c.Seen,
 			addAt: c.AddAt, open: c.Open}
 		if i < s.Roll {
 			g.roll = append(g.roll, customers[i])
@@ -340,6 +340,6 @@
 }
 
 func customerState(c *customer) CustomerState {
-	return CustomerState{c.id, c.spread, c.plan, c.asks, c.queued, c.used, c.at, c.level, c.ceiling, c.total, c.heard, c.next, c.fresh, c.seen,
+	return CustomerState{c.id, c.spread, c.plan, c.asks, c.queued, c.used, c.at, c.level, c.ceiling, c.total, c.heard, c.next, c.wary, c.fresh, c.seen,
 		c.addAt, c.open}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -99,6 +99,7 @@
 	level, ceiling float64       // what is unspent of this gateway's splits
 	total          float64       // recent use by all gateways, as told at heard (0: never)
 	heard, next    time.Duration // beyond its quota until next
+	wary           time.Duration // the counter has lost its total: until the use before that has faded
 	fresh          float64       // spent here and not added yet
 	seen           float64       // asked for here lately
 	addAt          time.Duration
--- a/internal/virtual/shapes.go
+++ b/internal/virtual/shapes.go
@@ -37,6 +37,7 @@
 	{"ceilings", (*day).ceilings},
 	{"keys", (*day).keys},
 	{"drains", (*day).drains},
+	{"flows", (*day).flows},
 }
 
 // Shapes names the shapes of days, in the order in which a generator draws them.
@@ -134,6 +135,11 @@
 	if d.some(0.5) {
 		verb = trouble.Kill
 	}
+	if d.some(0.3) { // many front doors meet few boxes, all of them cold
+		d.Doors, d.Boxes.Count = 20+d.rng.IntN(21), 1+d.rng.IntN(3)
+		n, gap = d.Boxes.Count, 0
+		d.load(d.between(1.5, 3))
+	}
 	order := d.rng.Perm(d.Boxes.Count)
 	for i := range n {
 		when := at + time.Duration(i)*gap
@@ -195,6 +201,15 @@
 		}
 		d.event(d.ms(500, 7000), e)
 	}
+	if d.some(0.3) { // a keeper that forgets again and again
+		for at := d.ms(500, 2500); at < 9*time.Second; at += d.ms(200, 1500) {
+			e := trouble.Event{Verb: trouble.Empty, Target: "keeper"}
+			if d.some(0.3) {
+				e.Verb, e.Value = trouble.Old, d.between(200, 3000)
+			}
+			d.event(at, e)
+		}
+	}
 	for range d.rng.IntN(4) {
 		d.event(d.ms(1000, 8000), trouble.Event{Verb: trouble.Move, Target: "school"})
 	}
@@ -219,7 +234,35 @@
 		}
 		d.event(at, how)
 		end := trouble.Event{For: d.ms(200, 1500), Target: b, Verb: []trouble.Verb{trouble.Lose, trouble.Reset, trouble.Kill, trouble.Refuse, trouble.Hang}[d.rng.IntN(5)]}
-		d.event(at+d.ms(100, 2500), end)
+		ends := at + d.ms(100, 2500)
+		d.event(ends, end)
+		if d.some(0.5) { // lines to the others are gone, and new ones take long
+			gone := ends + d.ms(0, 400)
+			for i := range d.Boxes.Count {
+				if o := d.box(i); o != b {
+					d.event(gone, trouble.Event{For: 20 * time.Millisecond, Verb: trouble.Refuse, Target: o})
+					d.event(gone+20*time.Millisecond, trouble.Event{For: d.ms(100, 700), Verb: trouble.Deaf, Target: o})
+				}
+			}
+		}
+	}
+}
+
+// flows: answers too large to be held flow through slow links and to slow clients, and break on their way.
+func (d *day) flows() {
+	d.Boxes.Count, d.Doors = 1+d.rng.IntN(4), 1+d.rng.IntN(3)
+	d.Boxes.Work, d.Boxes.Body = strict.Duration(time.Duration(d.pick(5, 15, 40))*time.Millisecond), int(d.pick(5000, 20000, 40000))
+	d.load(d.between(0.1, 0.6))
+	d.Rate = min(d.Rate, 60)
+	for range 1 + d.rng.IntN(4) {
+		e := trouble.Event{For: d.ms(1000, 6000), Verb: trouble.Throttle, Target: d.box(d.rng.IntN(d.Boxes.Count)), Value: math.Round(float64(d.Boxes.Body) / d.between(0.5, 5))}
+		switch d.rng.IntN(4) {
+		case 0:
+			e.Verb, e.Value = trouble.Reset, float64(d.rng.IntN(d.Boxes.Body))
+		case 1:
+			e.Verb, e.Target, e.Value = trouble.Drip, "*", d.between(0.1, 0.5)
+		}
+		d.event(d.ms(500, 9000), e)
 	}
 }
 
