--- a/internal/cli/hunt.go
+++ b/internal/cli/hunt.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -24,6 +25,16 @@
 	Workers int     `help:"Runs side by side; as many as there are processors if absent."`
 	Shrink  int     `default:"400" help:"Most runs to spend on making the nearest script smaller; 0 leaves it."`
 	Output  string  `short:"o" help:"File for the nearest script; printed if absent." placeholder:"FILE"`
+	JSON    bool    `help:"Print the outcome as JSON, without making the script smaller."`
+}
+
+// hunted is the outcome of a hunt.
+type hunted struct {
+	Runs     int           `json:"runs"`
+	Seconds  float64       `json:"seconds"`
+	Nearness float64       `json:"nearness"` // share of the limit
+	Find     *virtual.Find `json:"find,omitempty"`
+	Script   string        `json:"script"`
 }
 
 // rule finds a rule by its name or a part of it.
@@ -78,6 +89,14 @@
 	if best == nil {
 		return fmt.Errorf("no run fits into %g minutes", r.Minutes)
 	}
+	if r.JSON {
+		out := hunted{Runs: n, Seconds: time.Since(begun).Seconds(), Nearness: o.Nearness(rule), Script: best.Text()}
+		if len(o.Findings) > 0 {
+			f := o.Findings[0]
+			out.Find = &virtual.Find{Seed: best.Seed, Rule: f.Rule, At: f.At, What: f.What}
+		}
+		return json.NewEncoder(c.Out).Encode(out)
+	}
 	fmt.Fprintf(c.Out, "%d runs in %v; nearest to breaking \"%s\": %.3f of the limit, %s\n", n, time.Since(begun).Round(time.Second), virtual.RuleNames()[rule],
 		o.Nearness(rule), o.Verdict.Rules[rule].Of)
 	what, holds := fmt.Sprintf("Comes to %.3f of the limit of \"%s\".", o.Nearness(rule), virtual.RuleNames()[rule]), func(x virtual.Outcome) bool {
--- a/internal/cli/mutants.go
+++ b/internal/cli/mutants.go
@@ -25,6 +25,7 @@
 	Only    []string `help:"Names of the mistakes to try; all if absent." placeholder:"NAME"`
 	First   uint64   `default:"700001" help:"First seed of the search."`
 	Seeds   uint64   `default:"2000" help:"Most seeds of a search."`
+	Breed   int      `default:"1000" help:"Most runs of a hunt for its rule, where the seeds did not find a mistake."`
 	Starts  int      `default:"1" help:"Searches for each mistake, from different first seeds."`
 	Worth   uint64   `default:"400" help:"Seeds over which the cost of those that no rule sees is compared."`
 	Workers int      `help:"Searches side by side; as many as there are processors if absent."`
@@ -41,7 +42,8 @@
 	Rule    string         `json:"rule"`
 	Because string         `json:"because,omitempty"`
 	Found   []virtual.Find `json:"found"`   // one for each start that found it
-	Seeds   []uint64       `json:"seeds"`   // that it took, by start; what was spent where nothing was found
+	Seeds   []uint64       `json:"seeds"`   // that it took, bred scripts included, by start; what was spent where nothing was found
+	Bred    int            `json:"bred"`    // searches that found it by breeding only
 	Seconds []float64      `json:"seconds"` // of one core
 	Worth   float64        `json:"worth,omitempty"`
 	WorthU  float64        `json:"worth_noise,omitempty"`
@@ -183,6 +185,19 @@
 	return o, nil
 }
 
+// hunt breeds scripts that come near to breaking a rule, on one core, so that it goes the same way each time.
+func (r simMutants) hunt(program, rule string, seed uint64) (h hunted, err error) {
+	cmd := exec.Command(program, "hunt", "--json", "--rule", rule, "--runs", fmt.Sprint(r.Breed), "--minutes", "60", "--seed", fmt.Sprint(seed),
+		"--workers", "1")
+	var errs bytes.Buffer
+	cmd.Stderr = &errs
+	text, err := cmd.Output()
+	if err != nil {
+		return h, fmt.Errorf("%w\n%s", err, errs.Bytes())
+	}
+	return h, json.Unmarshal(text, &h)
+}
+
 // try searches for a mistake, and compares what it costs if no rule sees it.
 func (r simMutants) try(dir string, m mutants.Mutant, base virtual.Swept) searched {
 	s := searched{Name: m.Name, Guards: m.Guards, Rule: m.Rule, Because: m.Because}
@@ -212,10 +227,21 @@
 			s.Failure = err.Error()
 			return s
 		}
-		s.Seeds, s.Seconds = append(s.Seeds, o.Seeds), append(s.Seconds, o.Took.Seconds())
+		runs, took := o.Seeds, o.Took.Seconds()
 		if len(o.Finds) > 0 {
 			s.Found = append(s.Found, o.Finds[0])
+		} else if r.Breed > 0 && slices.Contains(virtual.RuleNames(), m.Rule) {
+			h, err := r.hunt(program, m.Rule, first)
+			if err != nil {
+				s.Failure = err.Error()
+				return s
+			}
+			if runs, took = runs+uint64(h.Runs), took+h.Seconds; h.Find != nil {
+				s.Found = append(s.Found, *h.Find)
+				s.Bred++
+			}
 		}
+		s.Seeds, s.Seconds = append(s.Seeds, runs), append(s.Seconds, took)
 	}
 	return s
 }
@@ -255,12 +281,12 @@
 }
 
 func (s searched) line() string {
-	return fmt.Sprintf("%s: %s; seeds %v, %.0f s", s.Name, s.verdict(), s.Seeds, slices.Max(append(s.Seconds, 0)))
+	return fmt.Sprintf("%s: %s; runs %v, %.0f s", s.Name, s.verdict(), s.Seeds, slices.Max(append(s.Seconds, 0)))
 }
 
 func printSearched(out io.Writer, all []searched) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "taken away\tguards\tsearches that found it\tby\tseeds, mean\tworst\tseconds of a core, mean")
+	fmt.Fprintln(w, "taken away\tguards\tsearches that found it\tof them by breeding\tby\truns, mean\tworst\tseconds of a core, mean")
 	seen, visible := 0, 0
 	for _, s := range all {
 		sum, worst, took := uint64(0), uint64(0), 0.0
@@ -268,7 +294,7 @@
 			sum, worst, took = sum+n, max(worst, n), took+s.Seconds[i]
 		}
 		n := float64(max(1, len(s.Seeds)))
-		fmt.Fprintf(w, "%s\t%s\t%d of %d\t%s\t%.0f\t%d\t%.0f\n", s.Name, s.Guards, len(s.Found), len(s.Seeds), s.verdict(), float64(sum)/n, worst, took/n)
+		fmt.Fprintf(w, "%s\t%s\t%d of %d\t%d\t%s\t%.0f\t%d\t%.0f\n", s.Name, s.Guards, len(s.Found), len(s.Seeds), s.Bred, s.verdict(), float64(sum)/n, worst, took/n)
 		if s.Rule != mutants.Worth {
 			visible++
 			if len(s.Found) > 0 {
