Test of the list of boxes waits for the reading that it caused, not for an earlier one

The front door reads its list once more when it begins to watch it, and logs it as it logs every reading: the test took that line for the answer to its own change, and asked before the list was there, in 1 to 6 of 100 runs. What is waited for in a log is now looked for behind the last replacement of a file.

1,000 runs of TestListOfBoxes: none failed; the package twice, fine.

--- a/internal/sockets/server_test.go
+++ b/internal/sockets/server_test.go
@@ -48,6 +48,7 @@
 	stop  context.CancelFunc
 	ended chan error
 	s     *Server
+	from  int // in the log: what was written before a file was replaced tells nothing of that
 }
 
 // lines keeps a log and lets a test wait for a record in it.
@@ -73,7 +74,7 @@
 	limit := time.After(10 * time.Second)
 	for {
 		r.log.mu.Lock()
-		found := strings.Contains(r.log.text.String(), what)
+		found := strings.Contains(r.log.text.String()[r.from:], what)
 		r.log.mu.Unlock()
 		if found {
 			return
@@ -99,6 +100,9 @@
 
 func (r *rig) replace(name, text string) {
 	r.Helper()
+	r.log.mu.Lock()
+	r.from = r.log.text.Len()
+	r.log.mu.Unlock()
 	p := filepath.Join(r.dir, name)
 	if err := os.WriteFile(p+".new", []byte(text), 0o600); err != nil {
 		r.Fatal(err)
