sandyard-quota total asks the keeper what it holds of a studio

Whether front doors or the keeper are wrong about a studio could not be told, since the name under which its use is counted changes and units weigh more with time. The front door now tells name, weight and keeper on its admin socket (/v1/counted, from the module's own naming), and the tool asks the keeper by GET and PTTL.

--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -339,6 +339,17 @@
 	return customerState(c), true
 }
 
+// CountedAs is the name under which the counter holds a customer's use as of the last event, and what a unit weighs in it;
+// ok is false for a customer that is not known or not shared. Only the owner of the gateway may ask.
+func (g *Gateway) CountedAs(id string) (name string, weight float64, ok bool) {
+	c := g.customers[id]
+	if c == nil || !c.asks {
+		return "", 0, false
+	}
+	weight, name = g.weight(c)
+	return name, weight, true
+}
+
 func customerState(c *customer) CustomerState {
 	return CustomerState{c.id, c.spread, c.plan, c.asks, c.queued, c.used, c.at, c.level, c.ceiling, c.total, c.heard, c.next, c.wary, c.fresh, c.seen,
 		c.addAt, c.open}
--- a/internal/cli/quota.go
+++ b/internal/cli/quota.go
@@ -14,6 +14,8 @@
 	"sandyard/choice"
 	"sandyard/identity"
 	"sandyard/internal/http1"
+	"sandyard/internal/resp"
+	"sandyard/internal/sockets"
 	"sandyard/quota"
 	"sandyard/trace"
 )
@@ -23,6 +25,7 @@
 	var g struct {
 		Show    quotaShow  `cmd:"" help:"How a studio stands, as one front door sees it."`
 		Would   quotaWould `cmd:"" help:"What the front door would decide now on a try; nothing is changed."`
+		Total   quotaTotal `cmd:"" help:"What the tally keeper holds of a studio, asked of the keeper itself."`
 		Version version    `cmd:"" help:"Print the version."`
 	}
 	return program("sandyard-quota", "How a studio stands with its quota.", &g, args, out, errs, &Console{out, errs})
@@ -191,3 +194,103 @@
 	_, err := fmt.Fprintln(c.Out, v.Answer)
 	return err
 }
+
+type quotaTotal struct {
+	Studio string `required:"" help:"The studio's name."`
+	Socket string `required:"" help:"The admin socket of a front door that serves it: it knows the name." placeholder:"PATH"`
+	Keeper string `help:"Ask this keeper, instead of the front door's." placeholder:"HOST:PORT"`
+	JSON   bool   `help:"Print JSON."`
+}
+
+// totalView is what total prints.
+type totalView struct {
+	Studio string  `json:"studio"`
+	Name   string  `json:"name"`
+	Keeper string  `json:"keeper"`
+	Held   bool    `json:"held"`    // the keeper has the name
+	Units  float64 `json:"units"`   // recent use over all front doors, as it fades
+	Lives  float64 `json:"lives_s"` // seconds until the keeper forgets the name; -1: never
+}
+
+func (q quotaTotal) Run(c *Console) error {
+	var n sockets.Counted
+	if err := ask(q.Socket, "/v1/counted?name="+url.QueryEscape(q.Studio), &n); err != nil {
+		return err
+	}
+	if !n.Known {
+		return fmt.Errorf("the front door has not seen %q lately, or shares it with no other: the keeper holds nothing of it", q.Studio)
+	}
+	if q.Keeper != "" {
+		n.Keeper = q.Keeper
+	}
+	v := totalView{Studio: q.Studio, Name: n.Name, Keeper: n.Keeper, Lives: -1}
+	got, err := askKeeper(n.Keeper, []string{"GET", n.Name}, []string{"PTTL", n.Name})
+	if err != nil {
+		return fmt.Errorf("keeper %s: %w", n.Keeper, err)
+	}
+	if got[0].Type != resp.Null {
+		x, ok := got[0].Float()
+		if !ok || !(n.Weight > 0) {
+			return fmt.Errorf("keeper %s holds %.40q under %s, which is no total", n.Keeper, got[0].Str, n.Name)
+		}
+		v.Held, v.Units = true, x/n.Weight
+	}
+	if got[1].Type == resp.Int && got[1].Int >= 0 {
+		v.Lives = float64(got[1].Int) / 1000
+	}
+	if q.JSON {
+		return json.NewEncoder(c.Out).Encode(v)
+	}
+	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "studio\t%q\nkeeper\t%s\nname\t%q\n", v.Studio, v.Keeper, v.Name)
+	if !v.Held {
+		fmt.Fprintf(w, "held\tnothing: not counted yet, forgotten, or another keeper\n")
+		return w.Flush()
+	}
+	fmt.Fprintf(w, "recent use\t%.2f units over all front doors\n", v.Units)
+	if v.Lives >= 0 {
+		fmt.Fprintf(w, "forgotten in\t%.1f s\n", v.Lives)
+	}
+	return w.Flush()
+}
+
+// askKeeper sends commands that change nothing and returns their answers.
+func askKeeper(addr string, commands ...[]string) ([]resp.Value, error) {
+	c, err := net.DialTimeout("tcp", addr, 2*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	var out []byte
+	for _, args := range commands {
+		out = resp.AppendCommand(out, args...)
+	}
+	if _, err := c.Write(out); err != nil {
+		return nil, err
+	}
+	var rd resp.Reader
+	var got []resp.Value
+	b := make([]byte, 4096)
+	for {
+		n, err := c.Read(b)
+		if err != nil {
+			return nil, err
+		}
+		for in := b[:n]; ; {
+			used, v, whole, err := rd.Feed(in)
+			if err != nil {
+				return nil, err
+			}
+			if in = in[used:]; !whole {
+				break
+			}
+			if v.Type == resp.Failed {
+				return nil, fmt.Errorf("it says %.80q", v.Str)
+			}
+			if got = append(got, v); len(got) == len(commands) {
+				return got, nil
+			}
+		}
+	}
+}
--- a/internal/sockets/admin.go
+++ b/internal/sockets/admin.go
@@ -24,6 +24,7 @@
 //
 //	GET /v1/identity                     core, configuration, door
 //	GET /v1/studio?name=S                what the module knows of a studio
+//	GET /v1/counted?name=S               under which name the keeper holds its use, and where the keeper is
 //	GET /v1/would?name=S&units=N         what it would decide now, by a copy of its state
 //	GET /v1/match?method=M&target=T&...  what it makes of a request before it decides (see door.Look)
 //
@@ -55,6 +56,14 @@
 	Of     int    `json:"of"`
 }
 
+// Counted is the answer to /v1/counted. Names change every while: it holds as of the front door's last event.
+type Counted struct {
+	Known  bool    `json:"known"` // seen lately, and shared with other front doors
+	Name   string  `json:"name"`
+	Weight float64 `json:"weight"` // of a unit that is used now
+	Keeper string  `json:"keeper"` // host:port; empty: there is none
+}
+
 func (s *Server) startAdmin() (func(), error) {
 	path := s.cfg.AdminSocket()
 	if path == "" {
@@ -176,8 +185,8 @@
 	if h.Path == "/v1/match" {
 		return 200, door.LookOf(q).On(cfg)
 	}
-	if h.Path != "/v1/studio" && h.Path != "/v1/would" {
-		return fail(404, "no such path; version 1 has identity, studio, would and match")
+	if h.Path != "/v1/studio" && h.Path != "/v1/would" && h.Path != "/v1/counted" {
+		return fail(404, "no such path; version 1 has identity, studio, counted, would and match")
 	}
 	studio := cfg.Studio(q["name"])
 	if studio == nil {
@@ -193,6 +202,13 @@
 		}
 		return 200, v
 	}
+	if h.Path == "/v1/counted" {
+		n := Counted{Keeper: cfg.Keeper.Address}
+		if !a.ask(func(c *door.Core, _ time.Duration) { n.Name, n.Weight, n.Known = c.Gateway().CountedAs(studio.Name) }) {
+			return fail(503, "the front door is ending")
+		}
+		return 200, n
+	}
 	units, err := strconv.ParseFloat(q["units"], 64)
 	if q["units"] == "" {
 		units, err = 1, nil
--- a/internal/sockets/server_test.go
+++ b/internal/sockets/server_test.go
@@ -533,9 +533,17 @@
 	if served < 2 || served > 4 {
 		t.Errorf("%d of 8 served with a burst of 3", served)
 	}
+	var name string
+	var weight float64
+	told := make(chan struct{})
+	r.s.post(post{kind: inquiry, look: func(c *door.Core, _ time.Duration) { name, weight, _ = c.Gateway().CountedAs("c"); close(told) }})
+	<-told
 	k.mu.Lock()
-	calls := k.keeper.Calls
+	calls, total := k.keeper.Calls, k.keeper.Total(k.now(), name)
 	k.mu.Unlock()
+	if used := total / weight; !(used > 1 && used < 9) { // what was refused may not be taken back yet
+		t.Errorf("%d served, %v units under %q", served, used, name)
+	}
 	if calls == 0 {
 		t.Error("the keeper was not asked")
 	}
