Virtual clock: a killed box's lines are not counted as closed for idling

The timer that closes an idle line asked whether the box's host was alive, which it is again once the box was started anew: lines that had ended with the old process were closed, without effect, and counted. The timer now ends with its line.

The new test closes 2 lines without the change and none with it.

--- a/internal/mutants/mutants.go
+++ b/internal/mutants/mutants.go
@@ -17,7 +17,7 @@
 //go:embed list.yaml
 var list []byte
 
-// Worth, as a Mutant's rule, says that no rule can see it: it costs worth served in time, or calls to the keeper.
+// Worth, as a Mutant's rule, says that no rule can see it: it costs worth served, or calls to the keeper.
 const Worth = "worth"
 
 // Mutant is a planted mistake.
--- a/internal/virtual/peers.go
+++ b/internal/virtual/peers.go
@@ -71,7 +71,7 @@
 
 // idles closes a connection on which nothing has happened for a while, as servers do; a request may be on its way then.
 func (c *vboxConn) idles(after time.Duration) {
-	if c.done || !c.b.host.alive {
+	if c.done || c.e.shut { // shut: by a kill of the box's process
 		return
 	}
 	if left := c.used + after - c.b.s.now; left > 0 || c.c.Waits() {
@@ -79,7 +79,7 @@
 		return
 	}
 	c.b.host.run(func() {
-		if len(c.e.inbox) == 0 && !c.c.Waits() {
+		if !c.done && !c.e.shut && len(c.e.inbox) == 0 && !c.c.Waits() {
 			c.b.s.reach("box closed idle line")
 			c.end(false)
 		}
--- a/internal/virtual/shapes_test.go
+++ b/internal/virtual/shapes_test.go
@@ -131,3 +131,27 @@
 		}
 	}
 }
+
+// A connection that ended with its box's process is not closed again by the process after it.
+func TestKilledBoxHasNoIdleLines(t *testing.T) {
+	s, err := ReadScript("killed.yaml", []byte(`version: 1
+seed: 1
+seconds: 1
+doors: 1
+rate: 30
+boxes: {count: 1, work: 5ms, idle: 3s}
+clients: {retries: 0}
+troubles:
+  - {at: 1s, for: 10ms, verb: kill, target: box-0}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := Run(s, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.Reached["try served"] == 0 || o.Reached["trouble kill"] != 1 || o.Reached["box closed idle line"] != 0 {
+		t.Errorf("%d served, %d killed, %d idle lines closed", o.Reached["try served"], o.Reached["trouble kill"], o.Reached["box closed idle line"])
+	}
+}
