A line is good only for the process it was made to, by its start time

The guard looked at the address only, which a restart keeps. It now looks at the listed start time too, for lines that come up and for those that are kept.

--- a/door/boxconn.go
+++ b/door/boxconn.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"sandyard/config"
 	"sandyard/internal/http1"
 )
 
@@ -264,6 +265,7 @@
 	Addr  string
 
 	box   *box
+	stamp config.When // of the process that it is made to, as the list told
 	state lineState
 	ex    *Exchange // whose attempt it carries
 	n     int       // the attempt's number
--- a/door/core.go
+++ b/door/core.go
@@ -53,6 +53,11 @@
 	told   time.Duration // when it was learnt that it is no longer up
 }
 
+// made tells that a line was made to the process that the box is now, as far as the list says.
+func (b *box) made(l *Line) bool {
+	return b.addr == l.Addr && time.Time(b.stamp).Equal(time.Time(l.stamp))
+}
+
 // Stats counts what a front door has done.
 type Stats struct {
 	Arrived, Served, RefusedQuota, RefusedRoom, Failed, Left, Broken uint64
@@ -350,7 +355,7 @@
 		c.hang(b.idle[0]) // too long idle for this request
 	}
 	c.lastLine++
-	line := &Line{Addr: b.addr, box: b, state: connecting, ex: ex, n: n, id: c.lastLine}
+	line := &Line{Addr: b.addr, stamp: b.stamp, box: b, state: connecting, ex: ex, n: n, id: c.lastLine}
 	b.lines++
 	ex.attempts[n].line = line
 	c.Stats.Dials++
@@ -424,7 +429,7 @@
 	switch {
 	case ex == nil: // its attempt is over
 		c.park(l)
-	case l.Addr != l.box.addr: // another process has taken the box's place
+	case !l.box.made(l): // another process has taken the box's place, and what was decided on is not there
 		l.ex = nil
 		c.hang(l)
 		c.lose(ex, n, choice.Void, false)
@@ -501,7 +506,7 @@
 // park makes a line idle.
 func (c *Core) park(l *Line) {
 	l.ex, l.used = nil, c.now
-	if b := l.box; !b.listed || b.entry.State != choice.Up || b.addr != l.Addr || c.over {
+	if b := l.box; !b.listed || b.entry.State != choice.Up || !b.made(l) || c.over {
 		l.state = busy // so that hang does not look for it among the idle
 		c.hang(l)
 	} else {
@@ -716,10 +721,11 @@
 			c.byName[in.Name], c.boxes[b.entry.Server] = b, b
 			c.order = append(c.order, b)
 		}
-		if b.addr != in.Address || !time.Time(b.stamp).Equal(time.Time(in.Started)) {
-			c.retire(b) // another process: its old connections lead nowhere
-		}
+		another := b.addr != in.Address || !time.Time(b.stamp).Equal(time.Time(in.Started))
 		b.addr, b.stamp, b.listed = in.Address, in.Started, true
+		if another {
+			c.retire(b) // its old connections lead nowhere
+		}
 		entry := choice.ServerEntry{Server: b.entry.Server, Zone: max(0, slices.Index(c.set.Config.Zones, in.Zone)),
 			Cell: in.Cell, State: choice.ServerState(in.State), Weight: in.Weight}
 		if s := time.Time(in.Started); !s.IsZero() {
--- a/door/core_test.go
+++ b/door/core_test.go
@@ -549,3 +549,34 @@
 		r.quiet()
 	}
 }
+
+// TestRestartWhileConnecting: what was decided for a process is not written to the one that took its place while the line
+// was being made, though it has the same address: that one is cold. Nor is a line kept that was made to the one before.
+func TestRestartWhileConnecting(t *testing.T) {
+	again := entries(1, 0)
+	again[0].Started = config.When(time.Unix(100, 0))
+	r := newRig(t, 1, 1, "")
+	r.ask("POST", "/pay", "ka", "Content-Length: 0\r\n")
+	d := r.want(Dial)
+	r.core.List(r.now, again, time.Time{})
+	r.core.LineUp(r.now, d.Line)
+	if w := r.want(Hang); w.Line != d.Line {
+		t.Error("another line was closed")
+	}
+	r.none(Write)
+	l, ex := r.up() // unsafe, but known not to have run: tried again
+	if l == d.Line {
+		t.Error("the same line")
+	}
+	r.reply(l, ex, ok200)
+	r.final("200")
+
+	r = newRig(t, 1, 1, "")
+	_, ex = r.ask("POST", "/pay", "ka", "Content-Length: 0\r\n")
+	l, _ = r.up()
+	r.core.List(r.now, again, time.Time{})
+	r.reply(l, ex, ok200)
+	r.final("200")
+	r.want(Hang)
+	r.quiet()
+}
