--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -25,7 +25,9 @@
 		fmt.Fprintln(errs, err)
 		return Failure
 	}
-	var b benchArgs
+	var b struct {
+		Measure benchArgs `cmd:"" default:"withargs" help:"Measure; the command may be left out."`
+	}
 	return program("sandyard-bench", "A front door beside proxies without decisions, in one run.", &b, args, out, errs, &Console{out, errs})
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,6 +24,7 @@
 
 func gateway(a []string, o, e *bytes.Buffer) int { return Gateway(a, o, e) }
 func tracer(a []string, o, e *bytes.Buffer) int  { return Trace(a, o, e) }
+func router(a []string, o, e *bytes.Buffer) int  { return Routes(a, o, e) }
 func sim(a []string, o, e *bytes.Buffer) int     { return Sim(a, o, e) }
 
 func TestCheck(t *testing.T) {
@@ -121,3 +124,60 @@
 		t.Errorf("%d %s", code, errs)
 	}
 }
+
+// TestOutputJSON: every command of the tools that prints a table prints the same as JSON.
+func TestOutputJSON(t *testing.T) {
+	f, api := traceFile(t, identity.Core()), "../../examples/kilns/openapi.yaml"
+	for _, c := range []struct {
+		tool func([]string, *bytes.Buffer, *bytes.Buffer) int
+		args string
+		want string // as Go prints what was decoded
+	}{
+		{tracer, "show " + f, "plan_name:hobby"},
+		{tracer, "follow 2 " + f, "operation:book"},
+		{tracer, "explain 2 " + f, "beyond what the plan allows"},
+		{tracer, "replay " + f, "steps:4"},
+		{tracer, "info " + f, "arrivals:2"},
+		{router, "diff " + api + " " + api, "differences:[]"},
+		{router, "match --config ../../examples/kilns/gateway.yaml GET /nowhere", "status:401"},
+		{sim, "replay 3", "Digest:"},
+		{sim, "run --seeds 3 --quiet", "seeds:1"},
+	} {
+		code, out, errs := run(c.tool, append(strings.Fields(c.args), "--output", "json")...)
+		var v any
+		if d := json.NewDecoder(strings.NewReader(out)); code != Fine || d.Decode(&v) != nil || !strings.Contains(fmt.Sprint(v), c.want) {
+			t.Errorf("%s: %d %s %s: %v", c.args, code, out, errs, v)
+		}
+	}
+	if code, _, errs := run(tracer, "info", "--output", "xml", f); code != Usage || !strings.Contains(errs, "--output") {
+		t.Errorf("%d %s", code, errs)
+	}
+}
+
+// TestInfoTellsOfACut: a file that a kill cut off is told to be so, with what is whole.
+func TestInfoTellsOfACut(t *testing.T) {
+	f := traceFile(t, identity.Core())
+	b, _ := os.ReadFile(f)
+	os.WriteFile(f, b[:len(b)-3], 0o600)
+	if code, out, _ := run(tracer, "info", f); code != Fine || !strings.Contains(out, "cut at ") {
+		t.Errorf("%d %s", code, out)
+	}
+}
+
+// TestCompletion: the program answers a shell that asks for the words that fit, and prints what makes it ask.
+func TestCompletion(t *testing.T) {
+	for _, shell := range []string{"bash", "zsh", "fish"} {
+		if code, out, errs := run(tracer, "completion", shell); code != Fine || !strings.Contains(out, "sandyard-trace") {
+			t.Errorf("%s: %d %s %s", shell, code, out, errs)
+		}
+	}
+	if code, _, _ := run(tracer, "completion", "edlin"); code != Usage {
+		t.Error(code)
+	}
+	for line, want := range map[string]string{"sandyard-trace ex": "explain\n", "sandyard-trace show --outc": "--outcome\n", "sandyard-trace show --output j": "json\n"} {
+		t.Setenv("COMP_LINE", line)
+		if code, out, _ := run(tracer, "sandyard-trace"); code != Fine || out != want {
+			t.Errorf("%s: %d %q", line, code, out)
+		}
+	}
+}
--- a/internal/cli/drill.go
+++ b/internal/cli/drill.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -31,7 +30,9 @@
 		fmt.Fprintln(errs, "sandyard-drill: no program", args[0])
 		return Usage
 	}
-	var g drillArgs
+	var g struct {
+		Play drillArgs `cmd:"" default:"withargs" help:"Play the day; the command may be left out."`
+	}
 	return program("sandyard-drill", "A bad day on real sockets, with the five rules checked from what crossed them.", &g, args, out, errs,
 		&Console{out, errs})
 }
@@ -43,9 +44,9 @@
 	Boxes   int     `default:"8" help:"Boxes; the built-in day needs 8."`
 	Rate    float64 `default:"180" help:"Requests a second on a usual second."`
 	Script  string  `type:"existingfile" help:"A script of sandyard-sim to play instead of the built-in day: its seed, seconds, doors, boxes, rate and troubles." placeholder:"FILE"`
-	JSON    bool    `help:"Print the outcome as JSON."`
-	Keep    string  `type:"path" help:"Keep the processes' logs and files in this folder." placeholder:"DIR"`
-	Quiet   bool    `help:"Don't tell of troubles as they are played."`
+	output
+	Keep  string `type:"path" help:"Keep the processes' logs and files in this folder." placeholder:"DIR"`
+	Quiet bool   `help:"Don't tell of troubles as they are played."`
 }
 
 func (a drillArgs) Run(c *Console) error {
@@ -74,10 +75,8 @@
 	if err != nil {
 		return err
 	}
-	if a.JSON {
-		e := json.NewEncoder(c.Out)
-		e.SetIndent("", "  ")
-		if err := e.Encode(r); err != nil {
+	if a.json() {
+		if err := printJSON(c.Out, r); err != nil {
 			return err
 		}
 	} else {
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/willabides/kongplete"
 
 	"sandyard/config"
 	"sandyard/identity"
@@ -33,11 +34,15 @@
 func program(name, about string, grammar any, args []string, out, errs io.Writer, bind ...any) int {
 	status := -1
 	k, err := kong.New(grammar, kong.Name(name), kong.Description(about), kong.Writers(out, errs), kong.Bind(bind...),
-		kong.Exit(func(code int) { status = code }), kong.UsageOnError())
+		kong.Exit(func(code int) { status = code }), kong.UsageOnError(),
+		kong.DynamicCommand("completion", "Print what makes a shell complete this program's command line.", "", &completion{}))
 	if err != nil {
 		fmt.Fprintln(errs, name+":", err)
 		return Usage
 	}
+	if kongplete.Complete(k, kongplete.WithExitFunc(func(code int) { status = code })); status >= 0 {
+		return status
+	}
 	ctx, err := k.Parse(args)
 	if status >= 0 { // --help
 		return status
--- a/internal/cli/hunt.go
+++ b/internal/cli/hunt.go
@@ -24,8 +24,8 @@
 	Seed    uint64  `default:"1" help:"Of the first scripts and of what is changed."`
 	Workers int     `help:"Runs side by side; as many as there are processors if absent."`
 	Shrink  int     `default:"400" help:"Most runs to spend on making the nearest script smaller; 0 leaves it."`
-	Output  string  `short:"o" help:"File for the nearest script; printed if absent." placeholder:"FILE"`
-	JSON    bool    `help:"Print the outcome as JSON, without making the script smaller."`
+	To      string  `short:"o" help:"File for the nearest script; printed if absent." placeholder:"FILE"`
+	output
 }
 
 // hunted is the outcome of a hunt.
@@ -89,7 +89,7 @@
 	if best == nil {
 		return fmt.Errorf("no run fits into %g minutes", r.Minutes)
 	}
-	if r.JSON {
+	if r.json() {
 		out := hunted{Runs: n, Seconds: time.Since(begun).Seconds(), Nearness: o.Nearness(rule), Script: best.Text()}
 		if len(o.Findings) > 0 {
 			f := o.Findings[0]
@@ -111,8 +111,8 @@
 		best = virtual.Shrink(best, opt, holds, r.Shrink, nil)
 	}
 	text := "# " + what + "\n" + best.Text()
-	if r.Output != "" {
-		if err := os.WriteFile(r.Output, []byte(text), 0o644); err != nil {
+	if r.To != "" {
+		if err := os.WriteFile(r.To, []byte(text), 0o644); err != nil {
 			return err
 		}
 	} else if _, err := io.WriteString(c.Out, text); err != nil {
--- a/internal/cli/mutants.go
+++ b/internal/cli/mutants.go
@@ -32,7 +32,7 @@
 	Scripts bool     `help:"Only play the scripts that are known to find a mistake: each must find it, and nothing without it."`
 	Days    uint64   `placeholder:"N" help:"Only play the days on which a defence that no rule sees matters, each with seeds 1 to N, with and without it."`
 	List    bool     `help:"Only print the list."`
-	JSON    bool     `help:"Print the outcome as JSON."`
+	output
 }
 
 // searched is what became of one mistake.
@@ -115,10 +115,8 @@
 	}
 	close(work)
 	wg.Wait()
-	if r.JSON {
-		e := json.NewEncoder(c.Out)
-		e.SetIndent("", "  ")
-		err = e.Encode(out)
+	if r.json() {
+		err = printJSON(c.Out, out)
 	} else {
 		err = printSearched(c.Out, out)
 	}
@@ -163,7 +161,7 @@
 
 // sweep runs a simulator over seeds, each with its own script or all with one.
 func (r simMutants) sweep(program string, first, n uint64, workers int, goOn bool, script string) (virtual.Swept, error) {
-	args := []string{"run", "--json", "--quiet", "--workers", fmt.Sprint(workers), "--seeds", fmt.Sprintf("%d-%d", first, first+n-1)}
+	args := []string{"run", "--output", "json", "--quiet", "--workers", fmt.Sprint(workers), "--seeds", fmt.Sprintf("%d-%d", first, first+n-1)}
 	if goOn {
 		args = append(args, "--go-on")
 	}
@@ -187,7 +185,7 @@
 
 // hunt breeds scripts that come near to breaking a rule, on one core, so that it goes the same way each time.
 func (r simMutants) hunt(program, rule string, seed uint64) (h hunted, err error) {
-	cmd := exec.Command(program, "hunt", "--json", "--rule", rule, "--runs", fmt.Sprint(r.Breed), "--minutes", "60", "--seed", fmt.Sprint(seed),
+	cmd := exec.Command(program, "hunt", "--output", "json", "--rule", rule, "--runs", fmt.Sprint(r.Breed), "--minutes", "60", "--seed", fmt.Sprint(seed),
 		"--workers", "1")
 	var errs bytes.Buffer
 	cmd.Stderr = &errs
@@ -348,7 +346,7 @@
 func (r simMutants) playScripts(c *Console, dir, whole string, all []mutants.Mutant) error {
 	begun := time.Now()
 	breaks := func(program, script string) (virtual.Outcome, error) {
-		text, err := exec.Command(program, "replay", "--json", script).Output()
+		text, err := exec.Command(program, "replay", "--output", "json", script).Output()
 		var o virtual.Outcome
 		var exit *exec.ExitError
 		if err != nil && !errors.As(err, &exit) {
--- a/internal/cli/quota.go
+++ b/internal/cli/quota.go
@@ -83,7 +83,7 @@
 	Socket string        `help:"The front door's admin socket." placeholder:"PATH"`
 	Trace  []string      `type:"existingfile" help:"Or trace files." placeholder:"FILE"`
 	At     time.Duration `help:"With traces: time after the first step; the end if absent."`
-	JSON   bool          `help:"Print JSON."`
+	output
 }
 
 func (q quotaShow) Run(c *Console) error {
@@ -101,7 +101,7 @@
 	default:
 		return errors.New("give either --socket or --trace")
 	}
-	if q.JSON {
+	if q.json() {
 		return json.NewEncoder(c.Out).Encode(v)
 	}
 	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
@@ -179,7 +179,7 @@
 	Studio string  `required:"" help:"The studio's name."`
 	Units  float64 `default:"1" help:"Units of the try."`
 	Socket string  `required:"" help:"The front door's admin socket." placeholder:"PATH"`
-	JSON   bool    `help:"Print JSON."`
+	output
 }
 
 func (q quotaWould) Run(c *Console) error {
@@ -188,7 +188,7 @@
 	if err := ask(q.Socket, path, &v); err != nil {
 		return err
 	}
-	if q.JSON {
+	if q.json() {
 		return json.NewEncoder(c.Out).Encode(v)
 	}
 	_, err := fmt.Fprintln(c.Out, v.Answer)
@@ -199,7 +199,7 @@
 	Studio string `required:"" help:"The studio's name."`
 	Socket string `required:"" help:"The admin socket of a front door that serves it: it knows the name." placeholder:"PATH"`
 	Keeper string `help:"Ask this keeper, instead of the front door's." placeholder:"HOST:PORT"`
-	JSON   bool   `help:"Print JSON."`
+	output
 }
 
 // totalView is what total prints.
@@ -238,7 +238,7 @@
 	if got[1].Type == resp.Int && got[1].Int >= 0 {
 		v.Lives = float64(got[1].Int) / 1000
 	}
-	if q.JSON {
+	if q.json() {
 		return json.NewEncoder(c.Out).Encode(v)
 	}
 	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
--- a/internal/cli/routes.go
+++ b/internal/cli/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -32,8 +33,8 @@
 	Key    string   `help:"A studio's key."`
 	Studio string   `help:"A studio by name, instead of a key."`
 	Header []string `short:"H" sep:"none" help:"A field of the request, as Name: value."`
-	JSON   bool     `help:"Print JSON."`
-	What   []string `arg:"" help:"METHOD and target, or - for lines of METHOD TARGET [STUDIO] on standard input."`
+	output
+	What []string `arg:"" help:"METHOD and target, or - for lines of METHOD TARGET [STUDIO] on standard input."`
 }
 
 // match asks the running front door, or the front door's own code with the configuration's files.
@@ -60,7 +61,7 @@
 		if err != nil {
 			return err
 		}
-		if m.JSON {
+		if m.json() {
 			return enc.Encode(x)
 		}
 		status := "decided"
@@ -70,7 +71,7 @@
 		_, err = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%g\t%q\t%s\t%s\n", x.Method, x.Target, x.Operation, x.Class, x.Repeat, x.Units, x.Studio, x.Plan, status)
 		return err
 	}
-	if !m.JSON {
+	if !m.json() {
 		fmt.Fprintln(w, "method\ttarget\toperation\tclass\trepeat\tunits\tstudio\tplan\tanswer")
 	}
 	defer w.Flush()
@@ -105,6 +106,29 @@
 	Old   string   `arg:"" type:"existingfile" help:"The description in force."`
 	New   string   `arg:"" type:"existingfile" help:"The one to come."`
 	Trace []string `type:"existingfile" help:"Traces whose traffic tells who would pay more." placeholder:"FILE"`
+	output
+}
+
+// difference is one between two descriptions.
+type difference struct {
+	Kind      string `json:"kind"` // new, gone, shadowed, class, cost, repeat or id
+	Operation string `json:"operation"`
+	What      string `json:"what"`
+}
+
+// dues is what a studio pays for the traffic of traces, in units.
+type dues struct {
+	Studio string  `json:"studio"`
+	Was    float64 `json:"was"`
+	Now    float64 `json:"now"`
+}
+
+// compared is what diff prints.
+type compared struct {
+	Operations  [2]int       `json:"operations"` // of each description
+	Differences []difference `json:"differences"`
+	Studios     int          `json:"studios,omitempty"`   // in the traces
+	Otherwise   []dues       `json:"otherwise,omitempty"` // those that would pay otherwise, who pays more first
 }
 
 func (d routesDiff) Run(c *Console) error {
@@ -123,97 +147,103 @@
 	for _, op := range tables[0].Operations {
 		old[key(op)] = op
 	}
-	var lines []string
+	lines := []difference{}
+	tell := func(kind, op, what string, args ...any) {
+		lines = append(lines, difference{kind, op, fmt.Sprintf(what, args...)})
+	}
 	cost := map[string][2]float64{} // by old operation id
 	for _, op := range tables[1].Operations {
 		now[key(op)] = op
 		was, ok := old[key(op)]
 		if !ok {
-			lines = append(lines, fmt.Sprintf("new\t%s\tline %d: class %s, %s", key(op), op.Line, op.Class, unitsText(op.Units)))
+			tell("new", key(op), "line %d: class %s, %s", op.Line, op.Class, unitsText(op.Units))
 			continue
 		}
 		if was.Class != op.Class {
-			lines = append(lines, fmt.Sprintf("class\t%s\t%s (line %d) to %s (line %d)", key(op), was.Class, was.Line, op.Class, op.Line))
+			tell("class", key(op), "%s (line %d) to %s (line %d)", was.Class, was.Line, op.Class, op.Line)
 		}
 		if was.Units != op.Units {
-			lines = append(lines, fmt.Sprintf("cost\t%s\t%s (line %d) to %s (line %d)", key(op), unitsText(was.Units), was.Line, unitsText(op.Units), op.Line))
+			tell("cost", key(op), "%s (line %d) to %s (line %d)", unitsText(was.Units), was.Line, unitsText(op.Units), op.Line)
 			if was.Units.In == "" && op.Units.In == "" {
 				cost[was.ID] = [2]float64{was.Units.Fixed, op.Units.Fixed}
 			}
 		}
 		if was.Repeat != op.Repeat {
-			lines = append(lines, fmt.Sprintf("repeat\t%s\tline %d to line %d", key(op), was.Line, op.Line))
+			tell("repeat", key(op), "line %d to line %d", was.Line, op.Line)
 		}
 		if was.ID != op.ID {
-			lines = append(lines, fmt.Sprintf("id\t%s\t%s to %s", key(op), was.ID, op.ID))
+			tell("id", key(op), "%s to %s", was.ID, op.ID)
 		}
 	}
 	for _, op := range tables[0].Operations {
 		if now[key(op)] == nil {
-			lines = append(lines, fmt.Sprintf("gone\t%s\tline %d", key(op), op.Line))
+			tell("gone", key(op), "line %d", op.Line)
 			if hit, v := tables[1].Look(op.Method, strings.NewReplacer("{", "", "}", "").Replace(op.Template)); v == routes.Found {
-				lines = append(lines, fmt.Sprintf("shadowed\t%s\tits requests become %s (line %d)", key(op), key(hit), hit.Line))
+				tell("shadowed", key(op), "its requests become %s (line %d)", key(hit), hit.Line)
 			}
 		}
 	}
-	slices.Sort(lines)
+	slices.SortFunc(lines, func(a, b difference) int {
+		return cmp.Or(strings.Compare(a.Kind, b.Kind), strings.Compare(a.Operation, b.Operation))
+	})
+	out := compared{Operations: [2]int{len(tables[0].Operations), len(tables[1].Operations)}, Differences: lines}
+	if len(d.Trace) > 0 {
+		var err error
+		if out.Studios, out.Otherwise, err = d.weigh(c, cost); err != nil {
+			return err
+		}
+	}
+	if d.json() {
+		return printJSON(c.Out, out)
+	}
 	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
 	for _, l := range lines {
-		fmt.Fprintln(w, l)
+		fmt.Fprintf(w, "%s\t%s\t%s\n", l.Kind, l.Operation, l.What)
 	}
 	w.Flush()
-	fmt.Fprintf(c.Out, "%d differences in %d and %d operations\n", len(lines), len(tables[0].Operations), len(tables[1].Operations))
+	fmt.Fprintf(c.Out, "%d differences in %d and %d operations\n", len(lines), out.Operations[0], out.Operations[1])
 	if len(d.Trace) == 0 {
 		return nil
 	}
-	return d.weigh(c, cost)
+	fmt.Fprintln(w, "\nstudio\tunits in the traces\tunder the new description\tchange")
+	for _, x := range out.Otherwise {
+		fmt.Fprintf(w, "%q\t%g\t%g\t%+.1f%%\n", x.Studio, x.Was, x.Now, 100*(x.Now/max(x.Was, 1e-9)-1))
+	}
+	w.Flush()
+	_, err := fmt.Fprintf(c.Out, "%d of %d studios would pay otherwise\n", len(out.Otherwise), out.Studios)
+	return err
 }
 
-// weigh tells who would have paid more for the traffic of traces.
-func (d routesDiff) weigh(c *Console, cost map[string][2]float64) error {
-	type sum struct{ was, now float64 }
-	by := map[string]*sum{}
-	err := traceFiles{d.Trace}.each(c, nil, func(h trace.Head, it trace.Item) error {
+// weigh tells how many studios there are in the traces, and who would have paid otherwise for their traffic.
+func (d routesDiff) weigh(c *Console, cost map[string][2]float64) (studios int, otherwise []dues, err error) {
+	by := map[string]*dues{}
+	err = traceFiles{d.Trace}.each(c, nil, func(h trace.Head, it trace.Item) error {
 		a := it.Event.Arrived
 		if a == nil {
 			return nil
 		}
 		s := by[a.Customer]
 		if s == nil {
-			s = &sum{}
+			s = &dues{Studio: a.Customer}
 			by[a.Customer] = s
 		}
-		s.was += a.Units
+		s.Was += a.Units
 		if ch, ok := cost[name(h.Ops, it.Op-1)]; ok {
-			s.now += ch[1]
+			s.Now += ch[1]
 		} else {
-			s.now += a.Units
+			s.Now += a.Units
 		}
 		return nil
 	})
-	if err != nil {
-		return err
-	}
-	var names []string
-	for n, s := range by {
-		if s.was != s.now {
-			names = append(names, n)
+	for _, s := range by {
+		if s.Was != s.Now {
+			otherwise = append(otherwise, *s)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		if x, y := by[a].now-by[a].was, by[b].now-by[b].was; x != y {
-			return int(1e6 * (y - x))
-		}
-		return strings.Compare(a, b)
+	slices.SortFunc(otherwise, func(a, b dues) int {
+		return cmp.Or(cmp.Compare(b.Now-b.Was, a.Now-a.Was), strings.Compare(a.Studio, b.Studio))
 	})
-	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "\nstudio\tunits in the traces\tunder the new description\tchange")
-	for _, n := range names {
-		fmt.Fprintf(w, "%q\t%g\t%g\t%+.1f%%\n", n, by[n].was, by[n].now, 100*(by[n].now/max(by[n].was, 1e-9)-1))
-	}
-	w.Flush()
-	_, err = fmt.Fprintf(c.Out, "%d of %d studios would pay otherwise\n", len(names), len(by))
-	return err
+	return len(by), otherwise, err
 }
 
 func unitsText(u routes.Units) string {
--- a/internal/cli/sim.go
+++ b/internal/cli/sim.go
@@ -98,8 +98,8 @@
 	GoOn     bool   `help:"Go on after the first broken rule."`
 	Coverage bool   `default:"true" negatable:"" help:"Print what was reached."`
 	Nearness bool   `help:"Print how near runs came to the limit of each rule."`
-	JSON     bool   `help:"Print the outcome as JSON."`
-	Quiet    bool   `help:"No progress."`
+	output
+	Quiet bool `help:"No progress."`
 }
 
 func (r simRun) Run(c *Console) error {
@@ -128,7 +128,7 @@
 	debug.SetGCPercent(400) // runs are short and their garbage is all they leave
 	begun, total, broken := time.Now(), last-first+1, 0
 	w := virtual.Sweep{First: first, Last: last, Profile: r.profile(), Script: script, Options: opt, Workers: r.Workers, GoOn: r.GoOn}
-	if !r.JSON {
+	if !r.json() {
 		w.Found = func(f virtual.Find) {
 			broken++
 			fmt.Fprintf(c.Out, "seed %d: %s, at %v: %s\n  again: %s\n", f.Seed, f.Rule, f.At, f.What, r.again(f.Seed))
@@ -147,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	if r.JSON {
+	if r.json() {
 		if err := json.NewEncoder(c.Out).Encode(o); err != nil {
 			return err
 		}
@@ -240,7 +240,7 @@
 	Until  time.Duration `help:"Stop at this time."`
 	GoOn   bool          `help:"Go on after the first broken rule."`
 	Log    bool          `default:"true" negatable:"" help:"Print the events."`
-	JSON   bool          `help:"Print the outcome as JSON."`
+	output
 }
 
 func (r simReplay) Run(c *Console) error {
@@ -249,17 +249,15 @@
 		return err
 	}
 	opt.Until, opt.GoOn = r.Until, r.GoOn
-	if r.Log && !r.JSON {
+	if r.Log && !r.json() {
 		opt.Log = func(at time.Duration, what string) { fmt.Fprintf(c.Out, "%12.6f  %s\n", at.Seconds(), what) }
 	}
 	o, err := virtual.Run(s, opt)
 	if err != nil {
 		return err
 	}
-	if r.JSON {
-		e := json.NewEncoder(c.Out)
-		e.SetIndent("", "  ")
-		if err := e.Encode(o); err != nil {
+	if r.json() {
+		if err := printJSON(c.Out, o); err != nil {
 			return err
 		}
 	} else {
@@ -291,7 +289,7 @@
 type simShrink struct {
 	simCommon
 	Script string `arg:"" help:"A seed, or a script's file."`
-	Output string `short:"o" help:"File for the script; printed if absent." placeholder:"FILE"`
+	To     string `short:"o" help:"File for the script; printed if absent." placeholder:"FILE"`
 	Runs   int    `default:"2000" help:"Most runs to spend."`
 }
 
@@ -315,11 +313,11 @@
 		return err
 	}
 	text := fmt.Sprintf("# Breaks \"%s\": %s\n%s", rule, o.Findings[0].What, small.Text())
-	if r.Output == "" {
+	if r.To == "" {
 		_, err = io.WriteString(c.Out, text)
 		return err
 	}
-	return os.WriteFile(r.Output, []byte(text), 0o644)
+	return os.WriteFile(r.To, []byte(text), 0o644)
 }
 
 type simDigest struct {
--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -37,47 +37,49 @@
 // each calls f with every item of the files; a file that was cut off by a kill is read to its last whole frame.
 func (t traceFiles) each(c *Console, begin func(trace.Head) error, f func(trace.Head, trace.Item) error) error {
 	for _, name := range t.Files {
-		text, err := os.ReadFile(name)
-		if err != nil {
-			return err
-		}
-		r, err := trace.NewReader(text)
+		cut, err := eachOf(name, begin, f)
 		if err != nil {
 			return fmt.Errorf("%s: %w", name, err)
 		}
-		err = func() error {
-			defer r.Close()
-			if begin != nil {
-				if err := begin(r.Head); err != nil {
-					return fmt.Errorf("%s: %w", name, err)
-				}
-			}
-			for {
-				items, err := r.Next()
-				if errors.Is(err, trace.ErrCut) {
-					fmt.Fprintf(c.Errs, "%s: cut off; read up to byte %d\n", name, r.Offset())
-					return nil
-				}
-				if err != nil {
-					return fmt.Errorf("%s: %w", name, err)
-				}
-				if items == nil {
-					return nil
-				}
-				for _, it := range items {
-					if err := f(r.Head, it); err != nil {
-						return fmt.Errorf("%s: %w", name, err)
-					}
-				}
-			}
-		}()
-		if err != nil {
-			return err
+		if cut > 0 {
+			fmt.Fprintf(c.Errs, "%s: cut off; read up to byte %d\n", name, cut)
 		}
 	}
 	return nil
 }
 
+// eachOf does so for one file and returns where it is cut off, or 0.
+func eachOf(name string, begin func(trace.Head) error, f func(trace.Head, trace.Item) error) (cut int64, err error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return 0, err
+	}
+	r, err := trace.NewReader(text)
+	if err != nil {
+		return 0, err
+	}
+	defer r.Close()
+	if begin != nil {
+		if err := begin(r.Head); err != nil {
+			return 0, err
+		}
+	}
+	for {
+		items, err := r.Next()
+		if errors.Is(err, trace.ErrCut) {
+			return int64(r.Offset()), nil
+		}
+		if err != nil || items == nil {
+			return 0, err
+		}
+		for _, it := range items {
+			if err := f(r.Head, it); err != nil {
+				return 0, err
+			}
+		}
+	}
+}
+
 func (t traceFiles) stories(c *Console) (trace.Head, *trace.Stories, error) {
 	s := trace.NewStories()
 	var head trace.Head
@@ -97,7 +99,7 @@
 	From    time.Duration `help:"Only from this time after the first."`
 	To      time.Duration `help:"Only up to this time after the first; 0 for all."`
 	Limit   int           `default:"1000" help:"At most so many."`
-	JSON    bool          `help:"Print lines of JSON."`
+	output
 }
 
 func name(list []string, i int) string {
@@ -113,7 +115,7 @@
 		return err
 	}
 	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
-	if !t.JSON {
+	if !t.json() {
 		fmt.Fprintln(w, "request\tat\tstudio\tplan\tclass\toperation\tunits\tattempts\toutcome\tms")
 	}
 	enc := json.NewEncoder(c.Out)
@@ -133,8 +135,8 @@
 			continue
 		}
 		shown++
-		if t.JSON {
-			if err := enc.Encode(st); err != nil {
+		if t.json() {
+			if err := enc.Encode(tell(head, s, st)); err != nil {
 				return err
 			}
 			continue
@@ -147,7 +149,7 @@
 			name(head.Ops, st.Op-1), st.Units, len(st.Attempts), outcome, float64((st.Ended-st.At).Microseconds())/1000)
 	}
 	w.Flush()
-	if !t.JSON {
+	if !t.json() {
 		fmt.Fprintf(c.Out, "%d of %d requests", shown, len(s.All))
 		if matched > shown {
 			fmt.Fprintf(c.Out, "; %d more match (--limit)", matched-shown)
@@ -166,6 +168,23 @@
 	return false
 }
 
+// told is a request with the names that its story has as numbers.
+type told struct {
+	*trace.Story
+	ClassName string   `json:"class_name"`
+	PlanName  string   `json:"plan_name"`
+	Operation string   `json:"operation"`
+	Boxes     []string `json:"boxes"` // of its attempts
+}
+
+func tell(head trace.Head, s *trace.Stories, st *trace.Story) told {
+	v := told{Story: st, ClassName: name(head.Classes, int(st.Class)), PlanName: name(head.Plans, int(st.Plan)), Operation: name(head.Ops, st.Op-1), Boxes: []string{}}
+	for _, a := range st.Attempts {
+		v.Boxes = append(v.Boxes, s.Names[a.Server])
+	}
+	return v
+}
+
 type traceOne struct {
 	Request uint64 `arg:"" help:"The request's number, as show has it."`
 	traceFiles
@@ -183,13 +202,19 @@
 	return head, s, st, nil
 }
 
-type traceFollow struct{ traceOne }
+type traceFollow struct {
+	traceOne
+	output
+}
 
 func (t traceFollow) Run(c *Console) error {
 	head, s, st, err := t.find(c)
 	if err != nil {
 		return err
 	}
+	if t.json() {
+		return printJSON(c.Out, tell(head, s, st))
+	}
 	at := func(d time.Duration) string { return fmt.Sprintf("%+10.3f ms", float64((d-st.At).Microseconds())/1000) }
 	fmt.Fprintf(c.Out, "%s  arrived: %q, plan %s, class %s, %g units, %v left\n", at(st.At), st.Customer, name(head.Plans, int(st.Plan)),
 		name(head.Classes, int(st.Class)), st.Units, st.Left)
@@ -211,18 +236,31 @@
 	return nil
 }
 
-type traceExplain struct{ traceOne }
+type traceExplain struct {
+	traceOne
+	output
+}
 
 func (t traceExplain) Run(c *Console) error {
 	head, s, st, err := t.find(c)
 	if err != nil {
 		return err
 	}
+	if t.json() {
+		return printJSON(c.Out, struct {
+			Request     uint64        `json:"request"`
+			Outcome     trace.Outcome `json:"outcome"`
+			Explanation string        `json:"explanation"`
+		}{t.Request, st.Outcome, s.Explain(head, st)})
+	}
 	_, err = fmt.Fprintln(c.Out, s.Explain(head, st))
 	return err
 }
 
-type traceReplay struct{ traceFiles }
+type traceReplay struct {
+	traceFiles
+	output
+}
 
 func (t traceReplay) Run(c *Console) error {
 	var r *trace.Replay
@@ -247,6 +285,15 @@
 		return err
 	}
 	took := time.Since(begun).Seconds()
+	if t.json() {
+		if err := printJSON(c.Out, r); err != nil {
+			return err
+		}
+		if r.Differ > r.Uncertain {
+			return errDiffers
+		}
+		return nil
+	}
 	fmt.Fprintf(c.Out, "%d steps replayed and %d states compared, %d differ, %d missing; %.0f steps a second\n", r.Steps, r.States, r.Differ, r.Dropped, float64(r.Steps)/took)
 	if r.Skipped > 0 {
 		fmt.Fprintf(c.Out, "%d steps before the first recorded state could not be replayed\n", r.Skipped)
@@ -257,21 +304,95 @@
 			fmt.Fprintln(c.Out, "all of them stand behind steps that the trace lacks, which may be why; what followed can't be told")
 			return nil
 		}
-		return fmt.Errorf("the core decides otherwise than the trace says")
+		return errDiffers
 	}
 	return nil
 }
 
-type traceInfo struct{ traceFiles }
+var errDiffers = errors.New("the core decides otherwise than the trace says")
+
+type traceInfo struct {
+	traceFiles
+	output
+}
+
+// recorded is what info tells of a file.
+type recorded struct {
+	File       string    `json:"file"`
+	Door       int       `json:"door"`
+	Part       int       `json:"part"`
+	Core       string    `json:"core"`
+	SameCore   bool      `json:"same_core"` // as this program's
+	Config     string    `json:"config"`    // digest
+	Share      float64   `json:"share"`
+	Plans      []string  `json:"plans"`
+	Operations []string  `json:"operations"`
+	From       time.Time `json:"from"`
+	Seconds    float64   `json:"seconds"` // from the first step to the last
+	Steps      uint64    `json:"steps"`
+	Arrivals   uint64    `json:"arrivals"`
+	Dropped    uint64    `json:"dropped"`
+	States     uint64    `json:"states"`
+	Bytes      int64     `json:"bytes"`
+	CutAt      int64     `json:"cut_at"` // byte up to which the file could be read; 0: it is whole
+}
 
 func (t traceInfo) Run(c *Console) error {
-	return t.each(c, func(h trace.Head) error {
-		mine := "as this program's"
-		if h.Core != identity.Core() {
-			mine = "this program's is " + identity.Core()
+	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	enc := json.NewEncoder(c.Out)
+	if !t.json() {
+		fmt.Fprintln(w, "file\tdoor\tpart\tcore\tconfiguration\tshare\tfrom\tseconds\tsteps\tarrivals\tdropped\tstates\tbytes\twhole")
+	}
+	for _, name := range t.Files {
+		v := recorded{File: name}
+		var first, last time.Duration
+		cut, err := eachOf(name, func(h trace.Head) error {
+			v.Door, v.Part, v.Core, v.SameCore, v.Config, v.Share = h.Door, h.Part, h.Core, h.Core == identity.Core(), h.Config, h.Share
+			v.Plans, v.Operations, v.From = h.Plans, h.Ops, time.Unix(0, h.Origin).Add(h.Began).UTC()
+			return nil
+		}, func(_ trace.Head, it trace.Item) error {
+			if it.State != nil {
+				v.States++
+				return nil
+			}
+			if it.Dropped > 0 {
+				v.Dropped += it.Dropped
+				return nil
+			}
+			if it.Box != nil {
+				return nil
+			}
+			if v.Steps++; v.Steps == 1 {
+				first = it.At
+			}
+			last = max(last, it.At)
+			if it.Event.Arrived != nil {
+				v.Arrivals++
+			}
+			return nil
+		})
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
 		}
-		_, err := fmt.Fprintf(c.Out, "door %d, part %d, core %s (%s), configuration %s, share %g, %d plans, %d operations, from %s\n", h.Door, h.Part, h.Core, mine, h.Config,
-			h.Share, len(h.Plans), len(h.Ops), time.Unix(0, h.Origin).Add(h.Began).UTC().Format(time.RFC3339))
-		return err
-	}, func(trace.Head, trace.Item) error { return nil })
+		v.CutAt, v.Seconds = cut, (last - first).Seconds()
+		if st, err := os.Stat(name); err == nil {
+			v.Bytes = st.Size()
+		}
+		if t.json() {
+			if err := enc.Encode(v); err != nil {
+				return err
+			}
+			continue
+		}
+		core, whole := v.Core, "yes"
+		if !v.SameCore {
+			core += " (this program's is " + identity.Core() + ")"
+		}
+		if cut > 0 {
+			whole = fmt.Sprintf("cut at %d", cut)
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%g\t%s\t%.3f\t%d\t%d\t%d\t%d\t%d\t%s\n", name, v.Door, v.Part, core, v.Config, v.Share, v.From.Format(time.RFC3339),
+			v.Seconds, v.Steps, v.Arrivals, v.Dropped, v.States, v.Bytes, whole)
+	}
+	return w.Flush()
 }
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -12,14 +12,14 @@
 
 // Replay feeds recorded events to this program's module and compares each step's actions. It has one owner.
 type Replay struct {
-	Steps     uint64
-	Differ    uint64
-	First     string        // the first difference, in words
-	FirstAt   time.Duration // when it was
-	Dropped   uint64        // steps that the trace lacks
-	Uncertain uint64        // differing steps behind a gap, which the gap may explain
-	Skipped   uint64        // steps before the first state, in a series that does not begin with part 0
-	States    uint64        // recorded states that were compared with, or gone on from
+	Steps     uint64        `json:"steps"`
+	Differ    uint64        `json:"differ"`
+	First     string        `json:"first"`       // the first difference, in words
+	FirstAt   time.Duration `json:"first_at_ns"` // when it was
+	Dropped   uint64        `json:"dropped"`     // steps that the trace lacks
+	Uncertain uint64        `json:"uncertain"`   // differing steps behind a gap, which the gap may explain
+	Skipped   uint64        `json:"skipped"`     // steps before the first state, in a series that does not begin with part 0
+	States    uint64        `json:"states"`      // recorded states that were compared with, or gone on from
 
 	gw  *choice.Gateway
 	gap bool // steps are missing since the last state
--- a/trace/story.go
+++ b/trace/story.go
@@ -10,38 +10,38 @@
 
 // Attempt is one send of a request.
 type Attempt struct {
-	Server  choice.ServerID
-	Sent    time.Duration
-	Ended   time.Duration // 0: not within the trace
-	Outcome choice.Outcome
+	Server  choice.ServerID `json:"server"`
+	Sent    time.Duration   `json:"sent_ns"`
+	Ended   time.Duration   `json:"ended_ns"` // 0: not within the trace
+	Outcome choice.Outcome  `json:"outcome"`
 }
 
 // Call is a keeper call that a request waited for.
 type Call struct {
-	Name   string
-	Amount float64
-	Asked  time.Duration
-	Heard  time.Duration // 0: not before its decision
-	How    choice.Outcome
-	Total  float64
+	Name   string         `json:"name"`
+	Amount float64        `json:"amount"`
+	Asked  time.Duration  `json:"asked_ns"`
+	Heard  time.Duration  `json:"heard_ns"` // 0: not before its decision
+	How    choice.Outcome `json:"how"`
+	Total  float64        `json:"total"`
 }
 
 // Story is what became of one request.
 type Story struct {
-	Request  choice.RequestID
-	At       time.Duration
-	Customer string
-	Class    choice.ClassID
-	Plan     choice.PlanID
-	Op       int // from 1
-	Units    float64
-	Left     time.Duration
-	Retry    bool
-	Attempts []Attempt
-	Call     *Call
-	Outcome  Outcome
-	Ended    time.Duration
-	Why      choice.Why
+	Request  choice.RequestID `json:"request"`
+	At       time.Duration    `json:"at_ns"`
+	Customer string           `json:"customer"`
+	Class    choice.ClassID   `json:"class"`
+	Plan     choice.PlanID    `json:"plan"`
+	Op       int              `json:"op"` // from 1
+	Units    float64          `json:"units"`
+	Left     time.Duration    `json:"left_ns"`
+	Retry    bool             `json:"retry"`
+	Attempts []Attempt        `json:"attempts"`
+	Call     *Call            `json:"call"`
+	Outcome  Outcome          `json:"outcome"`
+	Ended    time.Duration    `json:"ended_ns"`
+	Why      choice.Why       `json:"why"`
 }
 
 // Outcome is how a request ended.
