The time that the network takes to a box is not taken for load

Links of 100 ms each way at 7% load made front doors refuse a third of the tries: the wait that the loops see held the way, which no refusal makes shorter. The front door now keeps, for each box, the least time in which a line to it was made in the last one to two minutes, and tells the module of it with each attempt's end; the module takes it off what it learns of the wait, down to a tenth of the attempt's time. A box that is slow in accepting is not far: the least of a minute stands.

--- a/choice/api.go
+++ b/choice/api.go
@@ -140,9 +140,10 @@
 	Server  ServerID
 	Outcome Outcome
 	Latency time.Duration
-	Settled bool      // the client has its final answer
-	Units   float64   // true units, where they settle later; 0 if not told
-	Load    []float64 // values in the order of Settings.LoadFields; nil if none
+	Way     time.Duration // of that, what the network takes by itself, as far as known; 0 else
+	Settled bool          // the client has its final answer
+	Units   float64       // true units, where they settle later; 0 if not told
+	Load    []float64     // values in the order of Settings.LoadFields; nil if none
 }
 
 // StreamStarted says that an attempt's answer has begun and belongs to the client now.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,7 @@
 	fewest         = 12.0                   // events that they hold at least: fewer are noise
 	slower         = 4.0                    // multiple of that for what a place in line takes
 	firstShare     = 0.15                   // first guess of a latency, as a share of the aim
+	leastOwn       = 0.1                    // share of an attempt's time that is the server's at least
 	mostUse        = 1.2                    // reports above these are taken as these
 	mostLine       = 1000.0                 // requests in work; reports above are taken as this
 	probeDear      = 0.05                   // price of a probe a request above which none is sent
@@ -838,7 +839,7 @@
 	class := g.set.Classes[r.class]
 	took := (g.now - a.sent).Seconds()
 	if e.Outcome == OK || e.Outcome == TimedOut {
-		g.learn(s, a, took/max(class.Aim, tick).Seconds())
+		g.learn(s, a, max(took-e.Way.Seconds(), took*leastOwn)/max(class.Aim, tick).Seconds())
 	}
 	if l := &g.latency[r.class]; e.Outcome == OK {
 		l.dev += (math.Abs(took-l.mean) - l.dev) * smoothing
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -540,6 +540,33 @@
 	}
 }
 
+// The way to servers that are far is not taken for load, and what they wait for is.
+func TestFarServersAreNotLoaded(t *testing.T) {
+	for _, c := range []struct {
+		way  time.Duration
+		took time.Duration
+		all  bool
+	}{{0, 600 * time.Millisecond, false}, {550 * time.Millisecond, 600 * time.Millisecond, true}, {50 * time.Millisecond, 600 * time.Millisecond, false},
+		{time.Hour, 600 * time.Millisecond, true}, {-time.Hour, 600 * time.Millisecond, false}} {
+		set := basic()
+		set.Classes[0].Repeat = choice.Unsafe
+		b := start(t, set, 0, up(1, 2)...)
+		refused := 0
+		for i := range 60 {
+			id, s, ok := b.ask(fmt.Sprint("c", i), 0, 1)
+			b.wait(c.took)
+			if ok {
+				b.tell(choice.AttemptEnded{Request: id, Server: s, Outcome: choice.OK, Latency: c.took, Way: c.way})
+			} else {
+				refused++
+			}
+		}
+		if c.all != (refused == 0) {
+			t.Errorf("%d of 60 refused, one at a time, of %v each, %v of them the way", refused, c.took, c.way)
+		}
+	}
+}
+
 // Under lasting overload the cheaper plan is cut and the dearer one is not.
 func TestLowerWorthIsCutFirst(t *testing.T) {
 	set := basic()
--- a/door/core.go
+++ b/door/core.go
@@ -51,6 +51,7 @@
 	lines  int         // connections, those being made included
 	listed bool
 	told   time.Duration // when it was learnt that it is no longer up
+	way    way
 }
 
 // made tells that a line was made to the process that the box is now, as far as the list says.
@@ -355,7 +356,7 @@
 		c.hang(b.idle[0]) // too long idle for this request
 	}
 	c.lastLine++
-	line := &Line{Addr: b.addr, stamp: b.stamp, box: b, state: connecting, ex: ex, n: n, id: c.lastLine}
+	line := &Line{Addr: b.addr, stamp: b.stamp, box: b, state: connecting, begun: c.now, ex: ex, n: n, id: c.lastLine}
 	b.lines++
 	ex.attempts[n].line = line
 	c.Stats.Dials++
@@ -413,6 +414,9 @@
 	e.Request, e.Attempt, e.Latency = ex.ID, n, c.now-a.sent
 	if a.line != nil {
 		e.Server = a.line.box.entry.Server
+		if e.Way = a.line.box.way.back(); a.wrote > a.sent {
+			e.Way *= 2 // the line was made for it
+		}
 	}
 	a.line = nil
 	c.later(e)
@@ -425,6 +429,9 @@
 	if l.state != connecting {
 		return
 	}
+	if l.Addr == l.box.addr {
+		l.box.way.add(c.now-l.begun, c.now)
+	}
 	ex, n := l.ex, l.n
 	switch {
 	case ex == nil: // its attempt is over
@@ -721,6 +728,9 @@
 			c.byName[in.Name], c.boxes[b.entry.Server] = b, b
 			c.order = append(c.order, b)
 		}
+		if b.addr != in.Address {
+			b.way = way{}
+		}
 		another := b.addr != in.Address || !time.Time(b.stamp).Equal(time.Time(in.Started))
 		b.addr, b.stamp, b.listed = in.Address, in.Started, true
 		if another {
