sandyard-bench tools measures what recording and looking cost

What recording decisions and asking the admin socket cost a running front door had never been measured. The new command plays four front doors in turn in one run: a plain one, a second plain one for the noise, one that records everything, and one whose studio is looked at a hundred times a second. It prints throughput, processor time a request, p50 and p99 as shares of the plain one's in the same round, then reads and replays what was recorded.

--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -26,7 +26,8 @@
 		return Failure
 	}
 	var b struct {
-		Measure benchArgs `cmd:"" default:"withargs" help:"Measure; the command may be left out."`
+		Measure benchArgs  `cmd:"" default:"withargs" help:"Measure; the command may be left out."`
+		Tools   benchTools `cmd:"" help:"Measure what recording decisions and looking at a studio cost a front door."`
 	}
 	return program("sandyard-bench", "A front door beside proxies without decisions, in one run.", &b, args, out, errs, &Console{out, errs})
 }
@@ -44,3 +45,22 @@
 	}
 	return bench.Run(bench.Options{Conns: b.Conns, Seconds: b.Seconds, Rounds: b.Rounds, Idle: b.Idle, Out: c.Out, Command: self})
 }
+
+type benchTools struct {
+	Conns   []int   `default:"64" help:"Numbers of connections."`
+	Seconds float64 `default:"3" help:"Seconds of each load."`
+	Rounds  int     `default:"5" help:"Rounds, played in turn; medians are told."`
+	Rate    float64 `default:"8000" help:"Requests a second of the open loop."`
+	Looks   int     `default:"100" help:"Looks a second at a studio."`
+}
+
+func (b benchTools) Run(c *Console) error {
+	if b.Rounds < 1 || !(b.Seconds > 0) || !(b.Rate > 0) || b.Looks < 1 {
+		return fmt.Errorf("at least one round and one look, and more than 0 seconds and requests are needed")
+	}
+	return bench.Tools(bench.ToolOptions{Options: bench.Options{Conns: b.Conns, Seconds: b.Seconds, Rounds: b.Rounds, Out: c.Out, Command: self},
+		Rate: b.Rate, Looks: b.Looks, Ask: func(socket, path string) error {
+			var v any
+			return ask(socket, path, &v)
+		}})
+}
