What a box bears is a ratio of averages; cold boxes' few attempts leave room for chance

The pace that warm boxes bear was an average of ratios, which a gateway that saw failures made several times too large; a single answer raised it and silence starved it; and an allowance of few attempts left nothing for chance. The pace is a ratio of two averages now, stands while attempts are held back, four roots of what is sent stay free, and room below one attempt goes by chance within the set time, unsaved.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,7 +52,8 @@
 	prior          = 0.5                    // requests that the pool counts beside what was asked here
 	leastAsking    = 0.15                   // least chance of a call
 	bearable       = 0.3                    // share of what pushes a cold server over that it is sent at most
-	works          = 4.0                    // times the share of good answers: from 1 on a server works
+	luck           = 4.0                    // roots of what a cold server gets, left free for chance
+	works          = 12.0                   // times the share of good answers: from 1 on a server works
 	atOnce         = 0.3                    // of that in the stated time, what may come at once
 	otherZone      = 1.005                  // factor on the expected wait in another zone
 	choices        = 3                      // servers compared for one attempt
@@ -99,10 +100,12 @@
 	g.sensor = sensor{sampled: now, line: few, use: few, bad: few, took: many, place: many}
 	g.sensor.took.value, g.sensor.took.weight = firstShare, 1
 	g.sensor.place.value, g.sensor.place.weight = 1, 1
-	g.told, g.pace = many, few
+	g.told, g.borne, g.able = many, few, few
 	g.told.add(1, now)
 	// until more is known, all gateways together send a server one after the other
-	g.pace.add(1/(max(tick, set.Classes[0].Aim).Seconds()*firstShare*float64(set.Gateways)), now)
+	g.pace = 1 / (max(tick, set.Classes[0].Aim).Seconds() * firstShare * float64(set.Gateways))
+	g.borne.add(g.pace, now)
+	g.able.add(1, now)
 	for _, p := range g.set.Plans {
 		g.dear = max(g.dear, p.Price)
 		g.quotas, g.lets = append(g.quotas, g.quotaOf(p)), append(g.lets, many)
@@ -627,27 +630,36 @@
 }
 
 // bears tells whether a cold server can bear one more attempt. All gateways together send it at most a share
-// of what pushes it over, in terms of the pace that servers are known to bear. This one's part is a bucket
-// that fills at that rate; where it holds less than one attempt, chance decides once in the stated time, so
-// that many gateways, each with little, do not come at once.
+// of what pushes it over, in terms of the pace that servers are known to bear; less where that is so few
+// attempts that their number and work, up to chance, may come to several times what is meant. This one's part
+// is a bucket that fills at that rate. Where it never holds one attempt, chance decides once in the set
+// time whether and when one may go, and nothing is saved up, so that many gateways do not come at once.
 func (g *Gateway) bears(s *server) bool {
 	if !s.cold || g.set.OverloadFactor <= 0 || g.set.OverloadTime <= 0 {
 		return true
 	}
-	rate := bearable * g.set.OverloadFactor * g.warmth(s) * g.pace.value
+	limit := g.set.OverloadFactor * g.warmth(s) * g.pace // this one's part, in attempts a second
+	all := limit * float64(g.set.Gateways) * g.set.OverloadTime.Seconds()
+	few := math.Sqrt(luck*luck+4*all) - luck // twice the root of what leaves room for luck
+	rate := limit * min(bearable, few*few/4/max(all, 1e-9))
 	most := rate * atOnce * g.set.OverloadTime.Seconds()
+	if past := g.now - s.needAt; past >= g.set.OverloadTime {
+		s.need, s.needAt = g.rng.Float64(), g.now-past%g.set.OverloadTime
+		if most < 1 {
+			s.room, s.roomAt = 0, s.needAt
+		}
+	}
 	s.room, s.roomAt = min(max(1, most), s.room+rate*(g.now-s.roomAt).Seconds()), g.now
-	if g.now >= s.needAt+g.set.OverloadTime {
-		s.need, s.needAt = g.rng.Float64(), g.now
+	if s.room < s.need {
+		g.short = g.now + healthMemory
+		return false
 	}
-	held := min(s.room, most) < s.need
-	g.short = g.short || held
-	return !held
+	return true
 }
 
 // learnPace takes in what servers bore in a period: the good answers of those that work, for each of full
-// warmth. One that is only overloaded still answers many; one that hangs, none. What is small since attempts
-// were held back says nothing.
+// warmth. One that is only overloaded still answers many; one that hangs, none. While attempts are held back
+// their number is no measure: then only failures make the pace smaller.
 func (g *Gateway) learnPace(t float64) {
 	sum := 0.0
 	for _, s := range g.list {
@@ -657,14 +669,15 @@
 		}
 		sum += g.warmth(s) * min(1, works*(1-max(0, fails-healthPrior)/n))
 	}
-	if sum > 0 {
-		x := g.good / t / sum
-		if g.short {
-			x = max(x, g.pace.value*(g.good+healthPrior)/(g.ends+healthPrior))
-		}
-		g.pace.add(x, g.now)
+	g.borne.add(g.good/t, g.now)
+	g.able.add(sum, g.now)
+	if g.now >= g.short && g.able.value > 0 {
+		g.pace = g.borne.value / g.able.value
+	}
+	if g.now < g.short {
+		g.pace *= 1 - (1-(g.good+healthPrior)/(g.ends+healthPrior))/fewest
 	}
-	g.good, g.ends, g.short = 0, 0, false
+	g.good, g.ends = 0, 0
 }
 
 // choose picks a server for the next attempt of r, or nil: of a few drawn at random, the one with the least
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1090,3 +1090,57 @@
 		t.Errorf("%d sent on in 10 s", sent)
 	}
 }
+
+// A cold server that few attempts push over gets fewer still than its share of them, since chance decides how many come
+// together and what work they are: where five of mean work push it over, hardly ever more than three come. Nor does the pace
+// die away because little is sent: gateways that hold back learn nothing.
+func TestFewAttemptsLeaveRoomForChance(t *testing.T) {
+	set := basic()
+	set.ColdShare, set.ColdTime, set.OverloadFactor, set.OverloadTime = 0.25, time.Hour, 2, time.Second
+	gates := fleet(t, 20, set, time.Hour, silent, up(1)...)
+	rng := rand.New(rand.NewPCG(5, 6))
+	type out struct {
+		b    *bench
+		id   choice.RequestID
+		s    choice.ServerID
+		done time.Duration
+	}
+	var open []out
+	var sent []time.Duration
+	play := func(from, to, gap time.Duration) {
+		for at := from; at < to; at += gap {
+			b := gates[rng.IntN(len(gates))]
+			b.until(at)
+			for len(open) > 0 && open[0].done <= at {
+				open[0].b.until(at)
+				open[0].b.answer(open[0].id, open[0].s, choice.OK)
+				open = open[1:]
+			}
+			if id, s, ok := b.ask(fmt.Sprint("c", rng.IntN(1000)), 0, 1); ok {
+				open, sent = append(open, out{b, id, s, at + 100*time.Millisecond}), append(sent, at)
+			}
+		}
+	}
+	const minute = time.Minute
+	play(time.Hour, time.Hour+minute, 100*time.Millisecond) // ten a second is what it bears
+	servers := up(1)
+	servers[0].Started = time.Hour + minute
+	for _, b := range gates {
+		b.until(time.Hour + minute)
+		b.tell(choice.ServersChanged{Full: true, Entries: servers})
+	}
+	sent = nil
+	play(time.Hour+minute, time.Hour+6*minute, 25*time.Millisecond)
+	over, window := 0, 0
+	for i, at := range sent {
+		for sent[window] <= at-time.Second {
+			window++
+		}
+		if i-window+1 > 3 {
+			over++
+		}
+	}
+	if len(sent) < 90 || len(sent) > 300 || over > 5 {
+		t.Errorf("%d sent in 300 s, where one a second is meant; %d of them as the fourth or later in a second", len(sent), over)
+	}
+}
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -16,9 +16,10 @@
 	Sensor            [5]AverageState // line, use, took, place, bad
 	Loops             []LoopState
 	Lets, Failing     []AverageState
-	Told, Pace        AverageState
+	Told, Borne, Able AverageState
+	Pace              float64
 	Good, Ends        float64
-	Short             bool
+	Short             time.Duration
 	Latency           [][2]float64
 	Asking            float64
 	Crowded           time.Duration
@@ -147,7 +148,8 @@
 	random, err := g.random.MarshalBinary()
 	m := &g.sensor
 	s := State{Random: random, Now: g.now, Sampled: m.sampled, Asking: g.asking, Crowded: g.crowded, Open: g.open,
-		Turn: g.turn, Swept: g.swept, Subscribe: g.subscribe, Told: g.told.state(), Pace: g.pace.state(), Good: g.good, Ends: g.ends, Short: g.short,
+		Turn: g.turn, Swept: g.swept, Subscribe: g.subscribe, Told: g.told.state(), Borne: g.borne.state(), Able: g.able.state(), Pace: g.pace,
+		Good: g.good, Ends: g.ends, Short: g.short,
 		Sensor: [5]AverageState{m.line.state(), m.use.state(), m.took.state(), m.place.state(), m.bad.state()}}
 	for _, l := range g.loops {
 		s.Loops = append(s.Loops, LoopState{l.f, l.err, l.work, l.asked})
@@ -252,7 +254,9 @@
 		g.latency[i] = latency{mean: l[0], dev: l[1]}
 	}
 	g.told.restore(s.Told)
-	g.pace.restore(s.Pace)
+	g.borne.restore(s.Borne)
+	g.able.restore(s.Able)
+	g.pace = s.Pace
 	g.good, g.ends, g.short = s.Good, s.Ends, s.Short
 	g.asking, g.crowded, g.open, g.turn, g.swept, g.subscribe = s.Asking, s.Crowded, s.Open, s.Turn, s.Swept, s.Subscribe
 	customers := make([]*customer, len(s.Customers))
--- a/choice/state.go
+++ b/choice/state.go
@@ -33,16 +33,18 @@
 	servers   map[ServerID]*server
 	list      []*server // those that discovery has up
 	requests  map[RequestID]*request
-	latency   []latency // by class
-	failing   []average // share of attempts that failed, by class
-	open      int       // attempts out
-	turn      int       // of probing
-	swept     int       // place in roll
-	subscribe bool      // discovery is to be asked
-	pace      average   // good answers a second from a warm server that this gateway was given
-	good      float64   // good answers in this period,
-	ends      float64   // and attempts ended
-	short     bool      // cold servers were spared in this period
+	latency   []latency     // by class
+	failing   []average     // share of attempts that failed, by class
+	open      int           // attempts out
+	turn      int           // of probing
+	swept     int           // place in roll
+	subscribe bool          // discovery is to be asked
+	borne     average       // good answers a second that this gateway was given,
+	able      average       // from as much as so many warm servers that work,
+	pace      float64       // and what one of those is taken to bear
+	good      float64       // good answers in this period,
+	ends      float64       // and attempts ended
+	short     time.Duration // until when their number is no measure, since cold servers were spared
 }
 
 // sensor is what the load of the back end is read from, pooled over all servers.
