A property test that tools and front doors make the same of drawn requests

Drawn descriptions (templates, classes, units fixed, by query and by header), targets with odd segments and queries, fields and keys now go through Look and, as bytes, through the client's machine: operation, class, units, studio and patience, or the status of the answer without a decision, must be the same.

--- /dev/null
+++ b/door/look_test.go
@@ -0,0 +1,79 @@
+package door
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sandyard/config"
+)
+
+// TestLookAgreesWithRequests: on drawn descriptions and requests, what a tool says of a request is what the client's machine
+// makes of its bytes: the same operation, class, units and studio, or the same answer without a decision.
+func TestLookAgreesWithRequests(t *testing.T) {
+	segment := rapid.SampledFrom([]string{"a", "b", "{x}"})
+	units := rapid.SampledFrom([]string{"", "x-sandyard-units: 3, ", "x-sandyard-units: {in: query, name: n, default: 2, most: 8}, ",
+		"x-sandyard-units: {in: header, name: X-Units, default: 1.5, most: 4}, "})
+	decided, answered := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		seen, text := map[string]bool{}, "openapi: 3.0.3\ninfo: {title: t, version: '1'}\npaths:\n"
+		for range rapid.IntRange(1, 6).Draw(t, "paths") {
+			segs := rapid.SliceOfN(segment, 1, 3).Draw(t, "segments")
+			for i := range segs {
+				if segs[i] == "{x}" {
+					segs[i] = fmt.Sprintf("{x%d}", i)
+				}
+			}
+			p := "/" + strings.Join(segs, "/")
+			if seen[p] {
+				continue
+			}
+			seen[p] = true
+			text += "  " + p + ":\n"
+			for _, m := range [][]string{{"get"}, {"post"}, {"get", "post"}}[rapid.IntRange(0, 2).Draw(t, "methods")] {
+				class := rapid.SampledFrom([]string{"look", "book", "pay", "feed"}).Draw(t, "class")
+				text += fmt.Sprintf("    %s: {%sx-sandyard-class: %s, responses: {}}\n", m, units.Draw(t, "units"), class)
+			}
+		}
+		cfg, err := config.Parse("gateway.yaml", fmt.Appendf(nil, rigConfig+"units: {most: 8}\n", 1, ""), []byte(text), []byte("boxes: [{name: box-0, address: '10.0.0.1:80'}]"))
+		if err != nil {
+			t.Fatalf("%v\n%s", err, text)
+		}
+		target := "/" + strings.Join(rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "", "..", "%2F", "x%20y"}), 1, 3).Draw(t, "path"), "/")
+		target += rapid.SampledFrom([]string{"", "?n=5", "?n=99", "?n=-1", "?n=x", "?m=1&n=3", "?n=3&n=4", "?n=%33"}).Draw(t, "query")
+		l := Look{Method: rapid.SampledFrom([]string{"GET", "HEAD", "POST", "DELETE"}).Draw(t, "method"), Target: target,
+			Key: rapid.SampledFrom([]string{"ka", "kb", "nobody", ""}).Draw(t, "key"), Fields: []string{"Content-Length: 0"}}
+		if f := rapid.SampledFrom([]string{"", "X-Units: 2", "X-Units: 1e9", "X-Units: nan", "X-Units:", "Idempotency-Key: k"}).Draw(t, "field"); f != "" {
+			l.Fields = append(l.Fields, f)
+		}
+		got := l.On(cfg)
+		bytes := l.Method + " " + l.Target + " HTTP/1.1\r\nHost: t\r\n"
+		for _, f := range l.Fields {
+			bytes += f + "\r\n"
+		}
+		if l.Key != "" {
+			bytes += cfg.Headers.Key + ": " + l.Key + "\r\n"
+		}
+		c := NewClient(&Shared{Config: cfg, Via: "t"}, nil, "192.0.2.1", Start)
+		ex := c.Feed(Start, []byte(bytes+"\r\n"))
+		switch {
+		case (ex == nil) != (got.Status != 0):
+			t.Fatalf("%q: the tool says %+v, the client's machine %+v %s", bytes, got, ex, c.Out)
+		case ex == nil:
+			answered++
+			if !strings.HasPrefix(string(c.Out), fmt.Sprintf("HTTP/1.1 %d ", got.Status)) {
+				t.Fatalf("%q: the tool says %d %s, the answer is %s", bytes, got.Status, got.Why, c.Out)
+			}
+		default:
+			decided++
+			if ex.Op.ID != got.Operation || ex.Op.Class != got.Class || ex.Units != got.Units || ex.Studio.Name != got.Studio || ex.Patience.String() != got.Deadline {
+				t.Fatalf("%q: the tool says %+v, the exchange is %+v of %+v", bytes, got, ex, ex.Op)
+			}
+		}
+	})
+	if decided == 0 || answered == 0 {
+		t.Errorf("%d decided, %d answered: one of the two was not tried", decided, answered)
+	}
+}
