--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -24,6 +25,7 @@
 
 func gateway(a []string, o, e *bytes.Buffer) int { return Gateway(a, o, e) }
 func tracer(a []string, o, e *bytes.Buffer) int  { return Trace(a, o, e) }
+func quotas(a []string, o, e *bytes.Buffer) int  { return Quota(a, o, e) }
 func router(a []string, o, e *bytes.Buffer) int  { return Routes(a, o, e) }
 func sim(a []string, o, e *bytes.Buffer) int     { return Sim(a, o, e) }
 
@@ -89,20 +91,68 @@
 	}
 }
 
-// TestOtherCores: a tool whose core is another says so and gives no verdict, whichever of the two is older.
+// TestOtherCores: a tool whose core is another says so and gives no verdict, whichever of the two is older; for traces and
+// for a running front door.
 func TestOtherCores(t *testing.T) {
 	if code, out, errs := run(tracer, "replay", traceFile(t, "0123456789abcdef")); code != OtherCore || out != "" || !strings.Contains(errs, "verdicts could differ") {
 		t.Errorf("%d %s %s", code, out, errs)
 	}
-	exe := filepath.Join(t.TempDir(), "other")
-	if b, err := exec.Command("go", "build", "-ldflags", "-X sandyard/identity.other=x", "-o", exe, "sandyard/cmd/sandyard-trace").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, b)
+	mine, other := frontDoor(t, identity.Core()), frontDoor(t, "0123456789abcdef")
+	file := traceFile(t, identity.Core())
+	dir := t.TempDir()
+	for _, c := range []struct {
+		program string
+		tool    func([]string, *bytes.Buffer, *bytes.Buffer) int
+		args    string
+	}{
+		{"sandyard-trace", nil, "replay " + file},
+		{"sandyard-quota", quotas, "show --studio b --socket "},
+		{"sandyard-quota", quotas, "would --studio b --socket "},
+		{"sandyard-quota", quotas, "total --studio b --socket "},
+		{"sandyard-quota", nil, "show --studio a --trace " + file},
+		{"sandyard-routes", router, "match GET /a --socket "},
+	} {
+		args := c.args
+		if c.tool != nil {
+			if code, out, errs := run(c.tool, strings.Fields(args+other)...); code != OtherCore || strings.Contains(out, "{") || !strings.Contains(errs, "verdicts could differ") {
+				t.Errorf("%s, a front door of another core: %d %s %s", args, code, out, errs)
+			}
+			args += mine
+		}
+		exe := filepath.Join(dir, c.program)
+		if _, err := os.Stat(exe); err != nil {
+			if b, err := exec.Command("go", "build", "-ldflags", "-X sandyard/identity.other=x", "-o", exe, "sandyard/cmd/"+c.program).CombinedOutput(); err != nil {
+				t.Fatalf("%v: %s", err, b)
+			}
+		}
+		b, err := exec.Command(exe, strings.Fields(args)...).CombinedOutput()
+		var ee *exec.ExitError
+		if !errors.As(err, &ee) || ee.ExitCode() != OtherCore || !strings.Contains(string(b), identity.Core()) {
+			t.Errorf("%s %s, of another core: %v %s", c.program, args, err, b)
+		}
 	}
-	b, err := exec.Command(exe, "replay", traceFile(t, identity.Core())).CombinedOutput()
-	var ee *exec.ExitError
-	if !errors.As(err, &ee) || ee.ExitCode() != OtherCore || !strings.Contains(string(b), identity.Core()) {
-		t.Errorf("%v %s", err, b)
+}
+
+// frontDoor answers everything on an admin socket with an empty object, as a front door of a core.
+func frontDoor(t *testing.T, core string) string {
+	path := filepath.Join(t.TempDir(), "a.sock")
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 4096))
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nSandyard-Core: %s\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}", core)
+			c.Close()
+		}
+	}()
+	return path
 }
 
 func TestSimTool(t *testing.T) {
