A regression test for boxes that restart with idle lines; one field less in a line

When a line was begun is kept in the field that later holds its last use.

TestRestartWithIdleLines passes, and fails with the old order put back (the second request is answered 503). go test ./door ./internal/mutants passed.

--- a/door/boxconn.go
+++ b/door/boxconn.go
@@ -270,8 +270,7 @@
 	ex    *Exchange // whose attempt it carries
 	n     int       // the attempt's number
 	id    uint64
-	begun time.Duration // when it was begun to be made
-	used  time.Duration // when it last ended an attempt
+	used  time.Duration // when it last ended an attempt; before that, when it was begun to be made
 	load  []float64     // told by the head of an answer that flows
 	units float64
 }
--- a/door/core.go
+++ b/door/core.go
@@ -356,7 +356,7 @@
 		c.hang(b.idle[0]) // too long idle for this request
 	}
 	c.lastLine++
-	line := &Line{Addr: b.addr, stamp: b.stamp, box: b, state: connecting, begun: c.now, ex: ex, n: n, id: c.lastLine}
+	line := &Line{Addr: b.addr, stamp: b.stamp, box: b, state: connecting, used: c.now, ex: ex, n: n, id: c.lastLine}
 	b.lines++
 	ex.attempts[n].line = line
 	c.Stats.Dials++
@@ -430,7 +430,7 @@
 		return
 	}
 	if l.Addr == l.box.addr {
-		l.box.way.add(c.now-l.begun, c.now)
+		l.box.way.add(c.now-l.used, c.now)
 	}
 	ex, n := l.ex, l.n
 	switch {
@@ -728,11 +728,12 @@
 			c.byName[in.Name], c.boxes[b.entry.Server] = b, b
 			c.order = append(c.order, b)
 		}
-		if b.addr != in.Address {
+		moved := b.addr != in.Address
+		another := moved || !time.Time(b.stamp).Equal(time.Time(in.Started))
+		b.addr, b.stamp, b.listed = in.Address, in.Started, true // listed first: unlist drops a box that is not, with its last line
+		if moved {
 			b.way = way{}
 		}
-		another := b.addr != in.Address || !time.Time(b.stamp).Equal(time.Time(in.Started))
-		b.addr, b.stamp, b.listed = in.Address, in.Started, true
 		if another {
 			c.retire(b) // its old connections lead nowhere
 		}
--- a/door/core_test.go
+++ b/door/core_test.go
@@ -580,3 +580,23 @@
 	r.want(Hang)
 	r.quiet()
 }
+
+// TestRestartWithIdleLines: a box that starts anew while all its lines are idle is still there, and is sent to by a new line.
+func TestRestartWithIdleLines(t *testing.T) {
+	r := newRig(t, 1, 1, "")
+	_, ex := r.ask("GET", "/look", "ka", "")
+	idle, _ := r.up()
+	r.reply(idle, ex, ok200)
+	r.final("200")
+	again := entries(1, 0)
+	again[0].Started = config.When(time.Unix(100, 0))
+	r.core.List(r.now, again, time.Time{})
+	if w := r.want(Hang); w.Line != idle {
+		t.Error("another line was closed")
+	}
+	_, ex = r.ask("GET", "/look", "ka", "")
+	l, _ := r.up()
+	r.reply(l, ex, ok200)
+	r.final("200")
+	r.quiet()
+}
