One reader of whole traces and one set-up of the bench's front doors

The measurement of recording had its own copy of the files, the front door's start, the warming load and the loop over a trace's frames. trace.Each is now the one loop, for the tools and the measurement; startDoor, warmUp and the list of processes serve both measurements; parts of a trace are read one at a time, not all at once. Reader.Offset had no other user and is gone.

--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -73,6 +73,39 @@
 paths: {/look: {get: {x-sandyard-class: c, responses: {"200": {description: fine}}}}}
 `
 
+// peers are processes to be ended.
+type peers []*peer
+
+func (ps *peers) stop() {
+	for _, p := range *ps {
+		p.cmd.Process.Kill()
+		p.cmd.Wait()
+	}
+}
+
+// startDoor starts a front door before a box, with its files in a folder. extra is more of its gateway.yaml.
+func (o Options) startDoor(dir, box, extra string) (*peer, error) {
+	for name, text := range map[string]string{"gateway.yaml": gatewayYAML + extra, "openapi.yaml": openapiYAML,
+		"boxes.yaml": fmt.Sprintf("boxes: [{name: b, address: %q}]\n", box)} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return o.start("sandyard", "serve", "--config", filepath.Join(dir, "gateway.yaml"), "--listen", "127.0.0.1:0")
+}
+
+// warmUp is a load before the first that is measured: a front door that has just started guesses how long answers take, and
+// may refuse some until it knows.
+func warmUp(p *peer) error {
+	if _, err := Load(p.addr, ask, 4, 0, 500*time.Millisecond); err != nil {
+		return fmt.Errorf("%s: %w", p.name, err)
+	}
+	return nil
+}
+
+// ask is the request that all loads consist of.
+var ask = []byte("GET /look HTTP/1.1\r\nHost: bench\r\nX-Api-Key: k\r\nUser-Agent: bench\r\nAccept: */*\r\n\r\n")
+
 // Run measures and prints.
 func Run(o Options) error {
 	dir, err := os.MkdirTemp("", "sandyard-bench-")
@@ -80,25 +113,14 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	var peers []*peer
-	defer func() {
-		for _, p := range peers {
-			p.cmd.Process.Kill()
-			p.cmd.Wait()
-		}
-	}()
+	var peers peers
+	defer peers.stop()
 	box, err := o.start("box")
 	if err != nil {
 		return err
 	}
 	peers = append(peers, box)
-	for name, text := range map[string]string{"gateway.yaml": gatewayYAML, "openapi.yaml": openapiYAML,
-		"boxes.yaml": fmt.Sprintf("boxes: [{name: b, address: %q}]\n", box.addr)} {
-		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
-			return err
-		}
-	}
-	door, err := o.start("sandyard", "serve", "--config", filepath.Join(dir, "gateway.yaml"), "--listen", "127.0.0.1:0")
+	door, err := o.startDoor(dir, box.addr, "")
 	if err != nil {
 		return err
 	}
@@ -111,16 +133,14 @@
 		}
 		peers, targets = append(peers, p), append(targets, p)
 	}
-	req := []byte("GET /look HTTP/1.1\r\nHost: bench\r\nX-Api-Key: k\r\nUser-Agent: bench\r\nAccept: */*\r\n\r\n")
 	for _, p := range targets {
-		// A front door that has just started guesses how long answers take, and may refuse some until it knows.
-		if _, err := Load(p.addr, req, 4, 0, 500*time.Millisecond); err != nil {
-			return fmt.Errorf("%s: %w", p.name, err)
+		if err := warmUp(p); err != nil {
+			return err
 		}
 	}
 	d := time.Duration(o.Seconds * float64(time.Second))
 	for _, conns := range o.Conns {
-		if err := o.atConns(targets, req, conns, d); err != nil {
+		if err := o.atConns(targets, conns, d); err != nil {
 			return err
 		}
 	}
@@ -136,11 +156,11 @@
 	return xs[len(xs)/2]
 }
 
-func (o Options) atConns(targets []*peer, req []byte, conns int, d time.Duration) error {
+func (o Options) atConns(targets []*peer, conns int, d time.Duration) error {
 	most := map[string][]float64{}
 	for range o.Rounds {
 		for _, t := range targets {
-			r, err := Load(t.addr, req, conns, 0, d)
+			r, err := Load(t.addr, ask, conns, 0, d)
 			if err != nil {
 				return err
 			}
@@ -154,7 +174,7 @@
 	at := map[string]map[float64][]float64{}
 	for range o.Rounds {
 		for _, t := range targets {
-			r, err := Load(t.addr, req, conns, rate, d)
+			r, err := Load(t.addr, ask, conns, rate, d)
 			if err != nil {
 				return err
 			}
--- a/internal/bench/tools.go
+++ b/internal/bench/tools.go
@@ -1,9 +1,9 @@
 package bench
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -48,13 +48,8 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	var peers []*peer
-	defer func() {
-		for _, p := range peers {
-			p.cmd.Process.Kill()
-			p.cmd.Wait()
-		}
-	}()
+	var peers peers
+	defer peers.stop()
 	box, err := o.start("box")
 	if err != nil {
 		return err
@@ -62,25 +57,19 @@
 	peers = append(peers, box)
 	all := []*variant{{name: "plain"}, {name: "plain, again"}, {name: "recording", extra: "trace: {mode: full, folder: traces, most: 8GiB}\n"},
 		{name: "looked at", extra: "admin: {socket: admin.sock}\n", looked: true}}
-	req := []byte("GET /look HTTP/1.1\r\nHost: bench\r\nX-Api-Key: k\r\nUser-Agent: bench\r\nAccept: */*\r\n\r\n")
 	for i, v := range all {
 		v.dir = filepath.Join(dir, fmt.Sprint(i))
 		if err := os.Mkdir(v.dir, 0o700); err != nil {
 			return err
 		}
-		for name, text := range map[string]string{"gateway.yaml": gatewayYAML + v.extra, "openapi.yaml": openapiYAML,
-			"boxes.yaml": fmt.Sprintf("boxes: [{name: b, address: %q}]\n", box.addr)} {
-			if err := os.WriteFile(filepath.Join(v.dir, name), []byte(text), 0o600); err != nil {
-				return err
-			}
-		}
 		v.socket = filepath.Join(v.dir, "admin.sock")
-		if v.peer, err = o.start("sandyard", "serve", "--config", filepath.Join(v.dir, "gateway.yaml"), "--listen", "127.0.0.1:0"); err != nil {
+		if v.peer, err = o.startDoor(v.dir, box.addr, v.extra); err != nil {
 			return err
 		}
 		peers = append(peers, v.peer)
-		if _, err := Load(v.peer.addr, req, 4, 0, 500*time.Millisecond); err != nil {
-			return fmt.Errorf("%s: %w", v.name, err)
+		v.peer.name = v.name
+		if err := warmUp(v.peer); err != nil {
+			return err
 		}
 	}
 	looks := &atomic.Int64{}
@@ -90,7 +79,7 @@
 		}
 		for round := range o.Rounds {
 			for i := range all {
-				if err := o.round(all[(round+i)%len(all)], req, conns, looks); err != nil {
+				if err := o.round(all[(round+i)%len(all)], conns, looks); err != nil {
 					return err
 				}
 			}
@@ -109,7 +98,7 @@
 }
 
 // round loads one front door in a closed loop and then in an open one.
-func (o ToolOptions) round(v *variant, req []byte, conns int, looks *atomic.Int64) error {
+func (o ToolOptions) round(v *variant, conns int, looks *atomic.Int64) error {
 	d := time.Duration(o.Seconds * float64(time.Second))
 	var wg sync.WaitGroup
 	var lookErr error
@@ -117,14 +106,14 @@
 	if v.looked {
 		wg.Go(func() { lookErr = o.look(v.socket, stop, looks) })
 	}
-	most, err := Load(v.peer.addr, req, conns, 0, d)
+	most, err := Load(v.peer.addr, ask, conns, 0, d)
 	var open Result
 	var before, after time.Duration
 	if err == nil {
 		before, err = processor(v.peer.cmd.Process.Pid)
 	}
 	if err == nil {
-		open, err = Load(v.peer.addr, req, conns, o.Rate, d)
+		open, err = Load(v.peer.addr, ask, conns, o.Rate, d)
 	}
 	if err == nil {
 		after, err = processor(v.peer.cmd.Process.Pid)
@@ -178,77 +167,65 @@
 	}
 }
 
-// read reads what was recorded, checks that it is whole, and replays it.
+// read reads what was recorded, checks that it is whole, and then replays it.
 func (o ToolOptions) read(folder string) error {
 	files, err := os.ReadDir(folder)
 	if err != nil {
 		return err
 	}
-	type part struct {
-		n    int
-		text []byte
-	}
-	var parts []part
-	bytes := 0
-	for _, f := range files {
-		text, err := os.ReadFile(filepath.Join(folder, f.Name()))
+	var names []string
+	part := map[string]int{}
+	each := func(name string, begin func(trace.Head) error, f func(trace.Head, trace.Item) error) (size int, err error) {
+		text, err := os.ReadFile(filepath.Join(folder, name))
 		if err != nil {
-			return err
+			return 0, err
+		}
+		cut, err := trace.Each(text, begin, f)
+		if err == nil && cut > 0 {
+			err = trace.ErrCut
 		}
-		r, err := trace.NewReader(text)
 		if err != nil {
-			return fmt.Errorf("%s: %w", f.Name(), err)
+			return 0, fmt.Errorf("%s: %w", name, err)
 		}
-		parts = append(parts, part{r.Head.Part, text})
-		r.Close()
-		bytes += len(text)
+		return len(text), nil
 	}
-	slices.SortFunc(parts, func(a, b part) int { return a.n - b.n })
-	var rep *trace.Replay
-	var steps, decisions, dropped uint64
-	var reading, replaying time.Duration
-	for _, p := range parts {
-		r, err := trace.NewReader(p.text)
+	var steps, actions, dropped uint64
+	total := 0
+	begun := time.Now()
+	for _, f := range files {
+		n, err := each(f.Name(), func(h trace.Head) error { part[f.Name()] = h.Part; return nil }, func(_ trace.Head, it trace.Item) error {
+			dropped += it.Dropped
+			if it.State == nil && it.Box == nil && it.Dropped == 0 {
+				steps++
+			}
+			actions += uint64(len(it.Actions))
+			return nil
+		})
 		if err != nil {
 			return err
 		}
-		if rep == nil {
-			if rep, err = trace.NewReplay(r.Head); err != nil {
-				return err
-			}
-		}
-		for {
-			begun := time.Now()
-			items, err := r.Next()
-			reading += time.Since(begun)
-			if err != nil {
-				return fmt.Errorf("part %d: %w", p.n, err)
-			}
-			if items == nil {
-				break
-			}
-			for _, it := range items {
-				dropped += it.Dropped
-				if it.State == nil && it.Box == nil && it.Dropped == 0 {
-					steps++
-				}
-				decisions += uint64(len(it.Actions))
-			}
-			begun = time.Now()
-			for _, it := range items {
-				if err := rep.Step(r.Head, it); err != nil {
-					return fmt.Errorf("part %d: %w", p.n, err)
-				}
-			}
-			replaying += time.Since(begun)
-		}
-		r.Close()
+		names, total = append(names, f.Name()), total+n
 	}
+	reading := time.Since(begun)
 	if steps == 0 {
 		return errors.New("nothing was recorded")
 	}
-	_, err = fmt.Fprintf(o.Out, "%d files, %.1f MiB: %d steps with %d actions, %d dropped; %.1f bytes a step\nread: %.0f steps a second; replayed: %.0f steps a second, %d differ, %d of them behind a gap\n",
-		len(parts), float64(bytes)/(1<<20), steps, decisions, dropped, float64(bytes)/float64(steps), float64(steps)/reading.Seconds(),
+	slices.SortFunc(names, func(a, b string) int { return part[a] - part[b] })
+	var rep *trace.Replay
+	begun = time.Now()
+	for _, name := range names {
+		if _, err := each(name, func(h trace.Head) (err error) {
+			if rep == nil {
+				rep, err = trace.NewReplay(h)
+			}
+			return err
+		}, func(h trace.Head, it trace.Item) error { return rep.Step(h, it) }); err != nil {
+			return err
+		}
+	}
+	replaying := time.Since(begun)
+	_, err = fmt.Fprintf(o.Out, "%d files, %.1f MiB: %d steps with %d actions, %d dropped; %.1f bytes a step\nread: %.0f steps a second; read and replayed: %.0f steps a second, %d differ, %d of them behind a gap\n",
+		len(names), float64(total)/(1<<20), steps, actions, dropped, float64(total)/float64(steps), float64(steps)/reading.Seconds(),
 		float64(rep.Steps)/replaying.Seconds(), rep.Differ, rep.Uncertain)
 	if err == nil && rep.Differ > rep.Uncertain {
 		return errors.New("a replay differs: " + rep.First)
@@ -256,27 +233,16 @@
 	return err
 }
 
-// processor is the processor time that a process has used.
+// processor is the processor time that a process has used: utime and stime of proc(5)'s stat, in hundredths of a second. The
+// name before them may hold anything, so that fields count from its closing parenthesis.
 func processor(pid int) (time.Duration, error) {
-	f, err := os.Open(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, err
-	}
-	defer f.Close()
-	text, err := io.ReadAll(f)
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0, err
 	}
-	return clockTicks(string(text))
-}
-
-// clockTicks adds the fields utime and stime of proc(5)'s stat, in hundredths of a second. The name before them may hold
-// anything, so that fields count from its closing parenthesis.
-func clockTicks(stat string) (time.Duration, error) {
-	_, rest, ok := strings.Cut(stat[max(0, strings.LastIndexByte(stat, ')')):], " ")
-	f := strings.Fields(rest)
-	if !ok || len(f) < 13 {
-		return 0, fmt.Errorf("not a stat of proc(5): %.60q", stat)
+	f := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+	if len(f) < 13 {
+		return 0, fmt.Errorf("not a stat of proc(5): %.60q", text)
 	}
 	user, err1 := strconv.ParseInt(f[11], 10, 64)
 	system, err2 := strconv.ParseInt(f[12], 10, 64)
--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -49,35 +49,12 @@
 }
 
 // eachOf does so for one file and returns where it is cut off, or 0.
-func eachOf(name string, begin func(trace.Head) error, f func(trace.Head, trace.Item) error) (cut int64, err error) {
+func eachOf(name string, begin func(trace.Head) error, f func(trace.Head, trace.Item) error) (cut int, err error) {
 	text, err := os.ReadFile(name)
 	if err != nil {
 		return 0, err
 	}
-	r, err := trace.NewReader(text)
-	if err != nil {
-		return 0, err
-	}
-	defer r.Close()
-	if begin != nil {
-		if err := begin(r.Head); err != nil {
-			return 0, err
-		}
-	}
-	for {
-		items, err := r.Next()
-		if errors.Is(err, trace.ErrCut) {
-			return int64(r.Offset()), nil
-		}
-		if err != nil || items == nil {
-			return 0, err
-		}
-		for _, it := range items {
-			if err := f(r.Head, it); err != nil {
-				return 0, err
-			}
-		}
-	}
+	return trace.Each(text, begin, f)
 }
 
 func (t traceFiles) stories(c *Console) (trace.Head, *trace.Stories, error) {
@@ -334,7 +311,7 @@
 	Dropped    uint64    `json:"dropped"`
 	States     uint64    `json:"states"`
 	Bytes      int64     `json:"bytes"`
-	CutAt      int64     `json:"cut_at"` // byte up to which the file could be read; 0: it is whole
+	CutAt      int       `json:"cut_at"` // byte up to which the file could be read; 0: it is whole
 }
 
 func (t traceInfo) Run(c *Console) error {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -269,9 +269,6 @@
 // Close frees what a Reader holds.
 func (r *Reader) Close() { r.zip.Close() }
 
-// Offset is where the next frame begins.
-func (r *Reader) Offset() int { return r.at }
-
 // Next is the next frame's items; nil at the end. After ErrCut or ErrBroken there is no more.
 func (r *Reader) Next() ([]Item, error) {
 	if r.at == len(r.text) {
@@ -311,3 +308,32 @@
 	r.at += 8 + n
 	return b, nil
 }
+
+// Each calls begin, if there is one, with a file's head, and f with every item. A file that a kill cut off is read up to its
+// last whole frame, whose end is then returned as cut; 0 says that it is whole. Errors of begin and f are returned as they are.
+func Each(file []byte, begin func(Head) error, f func(Head, Item) error) (cut int, err error) {
+	r, err := NewReader(file)
+	if err != nil {
+		return 0, err
+	}
+	defer r.Close()
+	if begin != nil {
+		if err := begin(r.Head); err != nil {
+			return 0, err
+		}
+	}
+	for {
+		items, err := r.Next()
+		if errors.Is(err, ErrCut) {
+			return r.at, nil
+		}
+		if err != nil || items == nil {
+			return 0, err
+		}
+		for _, it := range items {
+			if err := f(r.Head, it); err != nil {
+				return 0, err
+			}
+		}
+	}
+}
