The pace's two ways to change stand side by side

learnPace asked the same question twice: whether attempts were held back lately decides between falling by failures and the ratio of the averages, and one switch says so. A word in the comment of bears is put right. Decisions are the same.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -632,7 +632,7 @@
 // bears tells whether a cold server can bear one more attempt. All gateways together send it at most a share
 // of what pushes it over, in terms of the pace that servers are known to bear; less where that is so few
 // attempts that their number and work, up to chance, may come to several times what is meant. This one's part
-// is a bucket that fills at that rate. Where it never holds one attempt, chance decides once in the set
+// is a bucket that fills at that rate. Where it never holds one attempt, chance decides once in the stated
 // time whether and when one may go, and nothing is saved up, so that many gateways do not come at once.
 func (g *Gateway) bears(s *server) bool {
 	if !s.cold || g.set.OverloadFactor <= 0 || g.set.OverloadTime <= 0 {
@@ -671,11 +671,11 @@
 	}
 	g.borne.add(g.good/t, g.now)
 	g.able.add(sum, g.now)
-	if g.now >= g.short && g.able.value > 0 {
-		g.pace = g.borne.value / g.able.value
-	}
-	if g.now < g.short {
+	switch {
+	case g.now < g.short:
 		g.pace *= 1 - (1-(g.good+healthPrior)/(g.ends+healthPrior))/fewest
+	case g.able.value > 0:
+		g.pace = g.borne.value / g.able.value
 	}
 	g.good, g.ends = 0, 0
 }
