One seam, a dialect, between the front door and the ways in and out

Need: the platform is one more way in and out of the same machine, and Client, BoxConn and Core assumed API keys, the OpenAPI table, endpoint-load-metrics and RESP. Change: internal/dialect names what may differ (reading a head, rendering a request and an attempt, a probe, what an answer tells, Retry-After, the counter's codec); door.Product is today's product behind it, with its code moved and unchanged. A counter's total is told with its first reply rather than with that of the expiry, so that the keeper holds less state. Measured: tests of door, internal/sockets and internal/virtual pass unchanged but for how a Shared is built.

--- a/door/bench_test.go
+++ b/door/bench_test.go
@@ -15,7 +15,7 @@
 	}
 	cfg.Keeper.Address, cfg.Settings.Counter = "", false
 	cfg.Settings.Plans[2].Rate, cfg.Settings.Plans[2].Burst, cfg.Settings.Plans[2].CeilingRate = 1e9, 1e9, 0
-	set := &Shared{Config: cfg, Via: "b"}
+	set := &Shared{Config: cfg, Dialect: Product(cfg, "b")}
 	now := Start
 	core, err := NewCore(set, 1, now)
 	if err != nil {
--- a/door/boxconn.go
+++ b/door/boxconn.go
@@ -1,12 +1,10 @@
 package door
 
 import (
-	"math"
-	"strconv"
-	"strings"
 	"time"
 
 	"sandyard/config"
+	"sandyard/internal/dialect"
 	"sandyard/internal/http1"
 )
 
@@ -27,11 +25,10 @@
 type Answer struct {
 	Kind   AnswerKind
 	Status int
-	Bytes  []byte    // for the client
-	Load   []float64 // as the box reported, in the order of the configuration; nil if it did not
-	Units  float64
-	Reuse  bool // Whole, Over: the connection can take another request
-	Close  bool // Begun: only the end of the client's connection can tell where the body ends
+	Bytes  []byte // for the client
+	Reuse  bool   // Whole, Over: the connection can take another request
+	Close  bool   // Begun: only the end of the client's connection can tell where the body ends
+	dialect.Report
 }
 
 // BoxConn is a connection to a box: it takes its answers apart, and renders them for the client that waits. An
@@ -147,7 +144,7 @@
 	a := b.facts(Begun)
 	b.chunks = h.Length < 0 && ex.Minor == 1
 	a.Close = h.Length < 0 && ex.Minor == 0
-	out := b.start(make([]byte, 0, 512+len(b.body)))
+	out := b.set.Dialect.Pass(make([]byte, 0, 512+len(b.body)), h)
 	switch {
 	case b.chunks:
 		out = append(out, "Transfer-Encoding: chunked\r\n"...)
@@ -175,7 +172,7 @@
 	}
 	a := b.facts(Whole)
 	a.Reuse = reuse
-	out = b.start(make([]byte, 0, 512+len(b.body)))
+	out = b.set.Dialect.Pass(make([]byte, 0, 512+len(b.body)), h)
 	chunks := len(trailers) > 0 && ex.Minor == 1 && ex.Method != "HEAD"
 	switch {
 	case chunks:
@@ -200,63 +197,9 @@
 	return a
 }
 
-const loadField = "endpoint-load-metrics"
-
-// start renders the status line and the fields that are passed on. The box's load is for this front door alone.
-func (b *BoxConn) start(out []byte) []byte {
-	h := b.head
-	out = http1.AppendStatus(out, h.Status, h.Reason)
-	out = http1.AppendFields(out, h, func(name string) bool {
-		return len(name) == len(loadField) && http1.EqualName(name, loadField)
-	})
-	out = append(out, "Via: 1.1 "...)
-	out = append(out, b.set.Via...)
-	return append(out, '\r', '\n')
-}
-
 // facts are what the head tells beside the answer.
 func (b *BoxConn) facts(k AnswerKind) Answer {
-	a := Answer{Kind: k, Status: b.head.Status}
-	cfg := b.set.Config
-	if len(cfg.Loads) > 0 {
-		if v, ok := b.head.Get(loadField); ok {
-			a.Load = parseLoad(v, cfg.Loads)
-		}
-	}
-	if cfg.Settings.UnitsSettleLater {
-		if v, ok := b.head.Get(cfg.Headers.Units); ok {
-			if x, err := strconv.ParseFloat(v, 64); err == nil && x >= 0 && !math.IsInf(x, 0) {
-				a.Units = x
-			}
-		}
-	}
-	return a
-}
-
-// parseLoad reads a report in the TEXT form of ORCA's endpoint-load-metrics: "TEXT cpu_utilization=0.3,
-// named_metrics.in_flight=4". Figures that are missing or no numbers read as NaN, which the gateway passes over.
-func parseLoad(v string, names []string) []float64 {
-	rest, ok := strings.CutPrefix(v, "TEXT ")
-	if !ok {
-		return nil
-	}
-	load := make([]float64, len(names))
-	for i := range load {
-		load[i] = math.NaN()
-	}
-	for rest != "" {
-		var pair string
-		pair, rest, _ = strings.Cut(rest, ",")
-		name, value, _ := strings.Cut(strings.Trim(pair, " "), "=")
-		for i := range names {
-			if names[i] == name {
-				if x, err := strconv.ParseFloat(value, 64); err == nil {
-					load[i] = x
-				}
-			}
-		}
-	}
-	return load
+	return Answer{Kind: k, Status: b.head.Status, Report: b.set.Dialect.Report(b.head, b.body, b.ex.isProbe)}
 }
 
 // Line is a connection to a box as the core knows it.
--- a/door/client.go
+++ b/door/client.go
@@ -1,13 +1,8 @@
 package door
 
 import (
-	"math"
-	"strconv"
-	"strings"
 	"time"
 
-	"sandyard/choice"
-	"sandyard/config"
 	"sandyard/internal/http1"
 )
 
@@ -175,7 +170,7 @@
 func (c *Client) TurnAway(now time.Duration, ex *Exchange) {
 	c.set.release(ex.held)
 	ex.held = 0
-	c.Answered(now, ex, tooBusy.append(nil, ex.Method, ex.Minor, ex.Close || c.set.Draining(), time.Second), false, false)
+	c.Answered(now, ex, c.set.own(nil, &tooBusy, ex.Method, ex.Minor, ex.Close || c.set.Draining(), time.Second), false, false)
 }
 
 // Relay appends more of an answer; end tells that it is over, broken that it must be cut off.
@@ -236,9 +231,9 @@
 func (c *Client) malformed(now time.Duration, err error) {
 	p := badRequest
 	if e, ok := err.(*http1.Error); ok {
-		p.status, p.detail = e.Status, "The request has "+e.Reason+"."
+		p.Status, p.Detail = e.Status, "The request has "+e.Reason+"."
 		if e.Status != 400 {
-			p.kind, p.title = "unsupported", http1.StatusText(e.Status)
+			p.Kind, p.Title = "unsupported", http1.StatusText(e.Status)
 		}
 	}
 	c.refuse(now, p, true)
@@ -261,11 +256,11 @@
 	ex, p := c.ex, c.refusal
 	closes := ex.Close || c.set.Draining()
 	retry := time.Duration(0)
-	if p.status == 503 {
+	if p.Status == 503 {
 		retry = time.Second
 	}
-	c.Out = p.append(c.Out, ex.Method, ex.Minor, closes, retry)
-	c.Own = append(c.Own, p.status)
+	c.Out = c.set.own(c.Out, p, ex.Method, ex.Minor, closes, retry)
+	c.Own = append(c.Own, p.Status)
 	c.drop()
 	c.ex, c.refusal = nil, nil
 	c.phase, c.since = idle, now
@@ -357,158 +352,18 @@
 		return nil
 	}
 	ex.held = size
-	ex.Wire = c.render(make([]byte, 0, size))
+	ex.Wire, ex.head = c.set.Dialect.Request(make([]byte, 0, size), c.head, c.body, c.tail, c.remote)
 	c.drop()
 	ex.Arrived = min(now, c.came) // its client has waited since its bytes came, not since the answer before it
 	c.phase, c.since = waiting, now
 	return ex
 }
 
-// render writes the request as a box gets it: hop-by-hop fields removed, this front door added.
-func (c *Client) render(b []byte) []byte {
-	h := c.head
-	b = append(b, h.Method...)
-	b = append(b, ' ')
-	b = append(b, h.Path...)
-	if i := strings.IndexByte(h.Target, '?'); i >= 0 {
-		b = append(b, h.Target[i:]...)
-	}
-	b = append(b, " HTTP/1.1\r\n"...)
-	b = http1.AppendField(b, "Host", h.Authority)
-	forwarded := ""
-	b = http1.AppendFields(b, h, func(name string) bool {
-		switch len(name) {
-		case 4:
-			return http1.EqualName(name, "Host")
-		case 15:
-			if http1.EqualName(name, "X-Forwarded-For") {
-				if v, ok := h.Get(name); ok {
-					forwarded = v + ", "
-				}
-				return true
-			}
-		}
-		return http1.EqualName(name, c.set.Config.Headers.Key) || http1.EqualName(name, "Authorization") && bearer(h) != ""
-	})
-	b = append(b, "X-Forwarded-For: "...)
-	b = append(b, forwarded...)
-	b = append(b, c.remote...)
-	b = append(b, "\r\nVia: 1."...)
-	b = strconv.AppendInt(b, int64(h.Minor), 10)
-	b = append(b, ' ')
-	b = append(b, c.set.Via...)
-	b = append(b, '\r', '\n')
-	switch {
-	case len(c.tail) > 0:
-		b = append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
-		b = http1.AppendChunk(b, c.body)
-		return http1.AppendLastChunk(b, c.tail)
-	case h.Length != 0 || h.Method == "POST" || h.Method == "PUT" || h.Method == "PATCH":
-		b = http1.AppendLength(b, int64(len(c.body)))
-	}
-	b = append(b, '\r', '\n')
-	return append(b, c.body...)
-}
-
-func bearer(h *http1.Head) string {
-	v, _ := h.Get("Authorization")
-	if len(v) > 7 && strings.EqualFold(v[:7], "Bearer ") {
-		return v[7:]
-	}
-	return ""
-}
-
 // identify finds the route, the studio, the units and the patience of a request.
 func (c *Client) identify(h *http1.Head) *problem {
 	if c.set.Draining() {
 		c.ex.Close = true
 		return &shuttingDown
 	}
-	return identify(c.set.Config, h, c.ex)
-}
-
-// Match is what a front door makes of a request before anything is decided.
-type Match struct {
-	Exchange
-	refusal *problem
-}
-
-// Refusal is the status of the answer that needs no decision, and why; 0 if the request goes on to one.
-func (m Match) Refusal() (status int, why string) {
-	if m.refusal == nil {
-		return 0, ""
-	}
-	return m.refusal.status, m.refusal.kind
-}
-
-// Identify is what a front door of this configuration makes of a request with this head: the same code, for tools.
-func Identify(cfg *config.Config, h *http1.Head) Match {
-	var m Match
-	if m.refusal = identify(cfg, h, &m.Exchange); m.refusal == nil && h.Length > int64(cfg.Limits.Body) {
-		m.refusal = &tooLarge
-	}
-	return m
-}
-
-// IdentifyFor is the same for a studio whose key the tool does not have; nil is a studio that there is not.
-func IdentifyFor(cfg *config.Config, h *http1.Head, studio *config.Customer) Match {
-	var m Match
-	if m.Studio = studio; studio == nil {
-		m.refusal = &wrongKey
-	} else {
-		m.refusal = route(cfg, h, &m.Exchange)
-	}
-	return m
-}
-
-func identify(cfg *config.Config, h *http1.Head, ex *Exchange) *problem {
-	key, ok := h.Get(cfg.Headers.Key)
-	if !ok {
-		if key = bearer(h); key == "" {
-			return &noKey
-		}
-	}
-	if ex.Studio = cfg.Customer(key); ex.Studio == nil {
-		return &wrongKey
-	}
-	return route(cfg, h, ex)
-}
-
-// route finds what an identified studio asks for.
-func route(cfg *config.Config, h *http1.Head, ex *Exchange) *problem {
-	op, v := cfg.Routes.Look(h.Method, h.Path)
-	switch v {
-	case 0:
-	case 2:
-		return &noMethod
-	case 3:
-		return &badPath
-	default:
-		return &noRoute
-	}
-	ex.Op, ex.Class = op, cfg.ClassOf[op.Index]
-	var ok bool
-	if ex.Units, ok = op.Units.Of(h.Query, h.Get); !ok {
-		return &badUnits
-	}
-	class := &cfg.Settings.Classes[ex.Class]
-	if class.Repeat == choice.Keyed {
-		if k, _ := h.Get("Idempotency-Key"); k == "" {
-			return &noIdemKey
-		}
-	}
-	ex.Patience = class.Deadline
-	if s, ok := h.Get(cfg.Headers.Patience); ok {
-		ms, err := strconv.ParseFloat(s, 64)
-		if err != nil || !(ms >= 0) || math.IsInf(ms, 0) {
-			return &badPatience
-		}
-		if ms < float64(class.Deadline/time.Millisecond) {
-			ex.Patience = time.Duration(ms * float64(time.Millisecond))
-		}
-	}
-	if s, ok := h.Get(cfg.Headers.Retry); ok && s != "0" && s != "" {
-		ex.Retry = true
-	}
-	return nil
+	return c.set.Dialect.Read(h, &c.ex.Ask)
 }
--- a/door/core.go
+++ b/door/core.go
@@ -20,7 +20,7 @@
 // The wishes. They are carried out in order, and none may block the core's owner.
 const (
 	Dial       WishKind = iota // connect Line to Line.Addr; tell LineUp or LineDown
-	Write                      // write Exchange.Wire on Line; tell AnswerOn or LineDown
+	Write                      // write Bytes, an attempt of Exchange, on Line; tell AnswerOn or LineDown
 	Hang                       // close Line; nothing more is told of it
 	Final                      // hand Bytes to Exchange's client as its whole answer
 	Grant                      // Line's begun answer may flow to Exchange's client
@@ -117,7 +117,7 @@
 		requests: map[choice.RequestID]*Exchange{}, boxes: map[choice.ServerID]*box{}, byName: map[string]*box{}}
 	c.first = actions
 	c.carryOut(actions)
-	if set.Config.Keeper.Address != "" {
+	if c.keeper.addr = set.Config.Keeper.Address; c.keeper.addr != "" {
 		c.dialKeeper()
 	}
 	c.timers.push(timer{at: now + sweepEvery, kind: sweepTimer})
@@ -284,7 +284,7 @@
 	switch {
 	case s == stepFail:
 		c.Stats.Failed++
-	case p.status == 429:
+	case p.Status == 429:
 		c.Stats.RefusedQuota++
 	default:
 		c.Stats.RefusedRoom++
@@ -292,10 +292,10 @@
 	if !c.set.Config.RetryAfter.Tell {
 		retry = 0
 	}
-	ex.Status = p.status
+	ex.Status = p.Status
 	c.owed--
 	c.wish(Wish{Kind: Final, Exchange: ex,
-		Bytes: p.append(nil, ex.Method, ex.Minor, ex.Close || c.set.Draining(), retry)})
+		Bytes: c.set.own(nil, &p, ex.Method, ex.Minor, ex.Close || c.set.Draining(), retry)})
 	c.forget(ex)
 }
 
@@ -317,7 +317,7 @@
 		return
 	}
 	n := len(ex.attempts)
-	ex.attempts = append(ex.attempts, attempt{sent: c.now, open: true})
+	ex.attempts = append(ex.attempts, attempt{sent: c.now, until: c.now + a.Timeout, open: true})
 	ex.open++
 	if !ex.take(stepSend) {
 		c.Stats.Strays++
@@ -367,7 +367,8 @@
 func (c *Core) write(l *Line, ex *Exchange, n int) {
 	l.state, l.ex, l.n = busy, ex, n
 	ex.attempts[n].wrote = c.now
-	c.wish(Wish{Kind: Write, Line: l, Exchange: ex})
+	c.wish(Wish{Kind: Write, Line: l, Exchange: ex,
+		Bytes: c.set.Dialect.Attempt(ex.Wire, ex.head, max(0, ex.attempts[n].until-c.now))})
 }
 
 // hang closes a line for good.
@@ -548,7 +549,7 @@
 		}
 		c.whole(ex, n, a)
 	case Begun:
-		if o := c.outcome(a.Status); o != choice.OK || !ex.take(stepBegin) {
+		if o := a.Outcome; o != choice.OK || !ex.take(stepBegin) {
 			l.ex = nil
 			c.hang(l)
 			ex.take(stepLost)
@@ -590,7 +591,7 @@
 
 // whole takes a held answer in: it goes to the client if nothing else did.
 func (c *Core) whole(ex *Exchange, n int, a *Answer) {
-	o := c.outcome(a.Status)
+	o := a.Outcome
 	settled := ex.state != Trying
 	if o == choice.OK && !ex.isProbe && ex.take(stepAnswer) {
 		ex.Status, settled = a.Status, true
@@ -601,18 +602,6 @@
 	c.ended(ex, n, choice.AttemptEnded{Outcome: o, Settled: settled, Load: a.Load, Units: a.Units})
 }
 
-// outcome is what a status says of an attempt. Only statuses that the configuration lists mean that the box turned
-// the request away unseen.
-func (c *Core) outcome(status int) choice.Outcome {
-	switch {
-	case slices.Contains(c.set.Config.File.Boxes.FullStatuses, status):
-		return choice.Full
-	case status >= 500:
-		return choice.Error
-	}
-	return choice.OK
-}
-
 // cancel withdraws an attempt: HTTP/1.1 has no other way than to close its connection.
 func (c *Core) cancel(a choice.Cancel) {
 	ex := c.requests[a.Request]
@@ -647,10 +636,7 @@
 		return
 	}
 	c.lastID++
-	wire := append([]byte("GET "), c.set.Config.Probes.Path...)
-	wire = append(wire, " HTTP/1.1\r\nHost: "...)
-	wire = append(append(wire, b.addr...), "\r\n\r\n"...)
-	ex := &Exchange{ID: c.lastID, Method: "GET", Minor: 1, Wire: wire, isProbe: true, probe: a.Server, state: Trying,
+	ex := &Exchange{ID: c.lastID, Method: "GET", Minor: 1, Wire: c.set.Dialect.Probe(b.addr), isProbe: true, probe: a.Server, state: Trying,
 		attempts: []attempt{{sent: c.now, open: true}}, open: 1}
 	c.requests[ex.ID] = ex
 	c.Stats.Probes++
--- a/door/doc.go
+++ b/door/doc.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"sandyard/config"
+	"sandyard/internal/dialect"
 )
 
 // Start is the time at which a front door's own clock begins: well above zero, so that what happened before its
@@ -30,7 +31,7 @@
 // Shared is what the parts of one front door have in common. Its counters may be used by all goroutines.
 type Shared struct {
 	Config   *config.Config
-	Via      string       // how this front door names itself (RFC 9110 section 7.6.3)
+	Dialect  dialect.Dialect
 	Memory   atomic.Int64 // bytes of bodies held
 	Clients  atomic.Int64 // connections
 	draining atomic.Bool
--- a/door/exchange.go
+++ b/door/exchange.go
@@ -4,8 +4,7 @@
 	"time"
 
 	"sandyard/choice"
-	"sandyard/config"
-	"sandyard/routes"
+	"sandyard/internal/dialect"
 )
 
 // State is where an exchange stands. An exchange has exactly one final answer: the one given by the step that leads
@@ -71,20 +70,15 @@
 
 // Exchange is a request from its last byte until its answer's last byte.
 type Exchange struct {
-	Owner    any // the runtime's connection; handed back with wishes
-	ID       choice.RequestID
-	Op       *routes.Operation
-	Class    choice.ClassID
-	Studio   *config.Customer
-	Units    float64
-	Retry    bool
-	Patience time.Duration // that the client has in all, from Arrived
-	Method   string
-	Minor    int  // the client's HTTP/1.Minor
-	Close    bool // the connection ends with this answer
-	Wire     []byte
-	Arrived  time.Duration
-	Status   int // of the final answer, 0 while there is none
+	Owner       any // the runtime's connection; handed back with wishes
+	ID          choice.RequestID
+	dialect.Ask // Patience counts from Arrived
+	Method      string
+	Minor       int  // the client's HTTP/1.Minor
+	Close       bool // the connection ends with this answer
+	Wire        []byte
+	Arrived     time.Duration
+	Status      int // of the final answer, 0 while there is none
 
 	state    State
 	attempts []attempt
@@ -93,6 +87,7 @@
 	carrier  *Line // and its line
 	probe    choice.ServerID
 	isProbe  bool
+	head     int // of Wire: where an attempt adds fields; 0: nowhere
 	held     int // bytes reserved in Shared.Memory
 }
 
@@ -100,6 +95,7 @@
 type attempt struct {
 	line  *Line
 	sent  time.Duration
+	until time.Duration // when it is given up
 	wrote time.Duration // when it went out on its line; 0: it has not
 	open  bool
 }
--- a/door/keeper.go
+++ b/door/keeper.go
@@ -1,12 +1,10 @@
 package door
 
 import (
-	"math"
-	"strconv"
 	"time"
 
 	"sandyard/choice"
-	"sandyard/internal/resp"
+	"sandyard/internal/dialect"
 )
 
 const (
@@ -19,21 +17,18 @@
 type keeperCall struct {
 	name string
 	sent time.Duration
-	told bool    // its end was reported: it timed out
-	got  bool    // its first reply, the total, has come
-	ok   bool    // and was one
-	sum  float64 // the total
+	told bool // its end was reported: it timed out
 }
 
-// keeper is the connection to the tally keeper: one pipeline of calls, answered in order. A call is two commands in
-// one round trip: INCRBYFLOAT, and PEXPIRE with NX so that a name's life begins with its first use.
+// keeper is the connection to the tally keeper: one pipeline of calls, answered in order.
 //
 // It is bounded by keeper.pending: calls beyond it are told as Full, not added. A keeper that is silent is told as
 // TimedOut call by call; its connection is given up after a while, and tried again with jitter.
 type keeper struct {
 	up      bool
 	dialing bool
-	rd      resp.Reader
+	addr    string
+	codec   dialect.Counter
 	calls   []keeperCall // oldest first, from head on
 	head    int
 	out     []byte
@@ -52,8 +47,7 @@
 	case k.pending() >= cfg.Keeper.Pending:
 		c.later(choice.Counted{Name: a.Name, Outcome: choice.Full})
 	default:
-		k.out = resp.AppendCommand(k.out, "INCRBYFLOAT", a.Name, strconv.FormatFloat(a.Amount, 'g', -1, 64))
-		k.out = resp.AppendCommand(k.out, "PEXPIRE", a.Name, strconv.FormatInt(a.TTL.Milliseconds(), 10), "NX")
+		k.out = k.codec.Call(k.out, a.Name, a.Amount, a.TTL)
 		k.calls = append(k.calls, keeperCall{name: a.Name, sent: c.now})
 		c.armKeeper()
 	}
@@ -106,7 +100,7 @@
 	k := &c.keeper
 	if k.dialing {
 		k.up, k.dialing, k.backoff = true, false, 0
-		k.rd = resp.Reader{}
+		k.codec = c.set.Dialect.Counter()
 	}
 }
 
@@ -125,12 +119,7 @@
 	k := &c.keeper
 	k.up, k.dialing, k.out = false, false, nil
 	for i := k.head; i < len(k.calls); i++ {
-		call := &k.calls[i]
-		switch {
-		case call.told:
-		case call.got && call.ok: // only its expiry was left to be answered
-			c.later(choice.Counted{Name: call.name, Outcome: choice.OK, Total: call.sum})
-		default:
+		if call := &k.calls[i]; !call.told {
 			c.later(choice.Counted{Name: call.name, Outcome: choice.TimedOut})
 		}
 	}
@@ -143,7 +132,7 @@
 func (c *Core) dialKeeper() {
 	if k := &c.keeper; !k.up && !k.dialing && !c.over {
 		k.dialing = true
-		c.wish(Wish{Kind: DialKeeper, Addr: c.set.Config.Keeper.Address})
+		c.wish(Wish{Kind: DialKeeper, Addr: k.addr})
 	}
 }
 
@@ -152,36 +141,29 @@
 	c.at(now)
 	k := &c.keeper
 	for k.up && len(b) > 0 {
-		n, v, whole, err := k.rd.Feed(b)
+		n, r, err := k.codec.Feed(b)
 		b = b[n:]
-		if err != nil || whole && k.pending() == 0 { // not the protocol, or an answer to nothing
+		if err != nil || r.Got && k.pending() == 0 { // not the protocol, or an answer to nothing
 			c.Stats.KeeperMalformed++
 			c.wish(Wish{Kind: HangKeeper})
 			c.keeperLost()
 			break
 		}
-		if whole {
-			c.keeperReply(v)
+		if r.Got {
+			c.keeperReply(r)
 		}
 	}
 	c.settle()
 }
 
-func (c *Core) keeperReply(v resp.Value) {
+func (c *Core) keeperReply(r dialect.Reply) {
 	k := &c.keeper
-	call := &k.calls[k.head]
-	if !call.got {
-		call.got = true
-		call.sum, call.ok = v.Float()
-		call.ok = call.ok && v.Type != resp.Failed && !math.IsInf(call.sum, 0)
-		return
-	}
-	if !call.told {
+	if call := &k.calls[k.head]; !call.told {
 		o := choice.OK
-		if !call.ok {
+		if !r.Added {
 			o = choice.Full // the keeper said no: not added
 		}
-		c.later(choice.Counted{Name: call.name, Outcome: o, Total: call.sum})
+		c.later(choice.Counted{Name: call.name, Outcome: o, Total: r.Total})
 	}
 	k.calls[k.head] = keeperCall{}
 	if k.head++; k.head == len(k.calls) {
--- a/door/look.go
+++ b/door/look.go
@@ -8,6 +8,7 @@
 
 	"sandyard/choice"
 	"sandyard/config"
+	"sandyard/internal/dialect"
 	"sandyard/internal/http1"
 )
 
@@ -99,3 +100,37 @@
 	}
 	return l
 }
+
+// Match is what a front door makes of a request before anything is decided.
+type Match struct {
+	dialect.Ask
+	refusal *problem
+}
+
+// Refusal is the status of the answer that needs no decision, and why; 0 if the request goes on to one.
+func (m Match) Refusal() (status int, why string) {
+	if m.refusal == nil {
+		return 0, ""
+	}
+	return m.refusal.Status, m.refusal.Kind
+}
+
+// Identify is what a front door of this configuration makes of a request with this head: the same code, for tools.
+func Identify(cfg *config.Config, h *http1.Head) Match {
+	var m Match
+	if m.refusal = identify(cfg, h, &m.Ask); m.refusal == nil && h.Length > int64(cfg.Limits.Body) {
+		m.refusal = &tooLarge
+	}
+	return m
+}
+
+// IdentifyFor is the same for a studio whose key the tool does not have; nil is a studio that there is not.
+func IdentifyFor(cfg *config.Config, h *http1.Head, studio *config.Customer) Match {
+	var m Match
+	if m.Studio = studio; studio == nil {
+		m.refusal = &wrongKey
+	} else {
+		m.refusal = route(cfg, h, &m.Ask)
+	}
+	return m
+}
--- a/door/look_test.go
+++ b/door/look_test.go
@@ -56,7 +56,7 @@
 		if l.Key != "" {
 			bytes += cfg.Headers.Key + ": " + l.Key + "\r\n"
 		}
-		c := NewClient(&Shared{Config: cfg, Via: "t"}, nil, "192.0.2.1", Start)
+		c := NewClient(&Shared{Config: cfg, Dialect: Product(cfg, "t")}, nil, "192.0.2.1", Start)
 		ex := c.Feed(Start, []byte(bytes+"\r\n"))
 		switch {
 		case (ex == nil) != (got.Status != 0):
--- /dev/null
+++ b/door/product.go
@@ -0,0 +1,237 @@
+package door
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"sandyard/choice"
+	"sandyard/config"
+	"sandyard/internal/dialect"
+	"sandyard/internal/http1"
+	"sandyard/internal/resp"
+)
+
+// product is the dialect of the configuration file: routes and costs come from the OpenAPI description, customers are
+// studios with keys, the counter speaks RESP.
+type product struct {
+	cfg *config.Config
+	via string // how this front door names itself (RFC 9110 section 7.6.3)
+}
+
+// Product is the dialect that a configuration file describes. via is how the front door names itself to others.
+func Product(cfg *config.Config, via string) dialect.Dialect { return &product{cfg, via} }
+
+func (d *product) Read(h *http1.Head, ask *dialect.Ask) *dialect.Own { return identify(d.cfg, h, ask) }
+
+func identify(cfg *config.Config, h *http1.Head, ex *dialect.Ask) *problem {
+	key, ok := h.Get(cfg.Headers.Key)
+	if !ok {
+		if key = bearer(h); key == "" {
+			return &noKey
+		}
+	}
+	if ex.Studio = cfg.Customer(key); ex.Studio == nil {
+		return &wrongKey
+	}
+	return route(cfg, h, ex)
+}
+
+// route finds what an identified studio asks for.
+func route(cfg *config.Config, h *http1.Head, ex *dialect.Ask) *problem {
+	op, v := cfg.Routes.Look(h.Method, h.Path)
+	switch v {
+	case 0:
+	case 2:
+		return &noMethod
+	case 3:
+		return &badPath
+	default:
+		return &noRoute
+	}
+	ex.Op, ex.Class = op, cfg.ClassOf[op.Index]
+	var ok bool
+	if ex.Units, ok = op.Units.Of(h.Query, h.Get); !ok {
+		return &badUnits
+	}
+	class := &cfg.Settings.Classes[ex.Class]
+	if class.Repeat == choice.Keyed {
+		if k, _ := h.Get("Idempotency-Key"); k == "" {
+			return &noIdemKey
+		}
+	}
+	ex.Patience = class.Deadline
+	if s, ok := h.Get(cfg.Headers.Patience); ok {
+		ms, err := strconv.ParseFloat(s, 64)
+		if err != nil || !(ms >= 0) || math.IsInf(ms, 0) {
+			return &badPatience
+		}
+		if ms < float64(class.Deadline/time.Millisecond) {
+			ex.Patience = time.Duration(ms * float64(time.Millisecond))
+		}
+	}
+	if s, ok := h.Get(cfg.Headers.Retry); ok && s != "0" && s != "" {
+		ex.Retry = true
+	}
+	return nil
+}
+
+// Request writes the request as a box gets it: hop-by-hop fields removed, this front door added.
+func (d *product) Request(b []byte, h *http1.Head, body []byte, trailers []http1.Field, remote string) ([]byte, int) {
+	b = append(b, h.Method...)
+	b = append(b, ' ')
+	b = append(b, h.Path...)
+	if i := strings.IndexByte(h.Target, '?'); i >= 0 {
+		b = append(b, h.Target[i:]...)
+	}
+	b = append(b, " HTTP/1.1\r\n"...)
+	b = http1.AppendField(b, "Host", h.Authority)
+	forwarded := ""
+	b = http1.AppendFields(b, h, func(name string) bool {
+		switch len(name) {
+		case 4:
+			return http1.EqualName(name, "Host")
+		case 15:
+			if http1.EqualName(name, "X-Forwarded-For") {
+				if v, ok := h.Get(name); ok {
+					forwarded = v + ", "
+				}
+				return true
+			}
+		}
+		return http1.EqualName(name, d.cfg.Headers.Key) || http1.EqualName(name, "Authorization") && bearer(h) != ""
+	})
+	b = append(b, "X-Forwarded-For: "...)
+	b = append(b, forwarded...)
+	b = append(b, remote...)
+	b = append(b, "\r\nVia: 1."...)
+	b = strconv.AppendInt(b, int64(h.Minor), 10)
+	b = append(b, ' ')
+	b = append(b, d.via...)
+	b = append(b, '\r', '\n')
+	switch {
+	case len(trailers) > 0:
+		b = append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
+		b = http1.AppendChunk(b, body)
+		return http1.AppendLastChunk(b, trailers), 0
+	case h.Length != 0 || h.Method == "POST" || h.Method == "PUT" || h.Method == "PATCH":
+		b = http1.AppendLength(b, int64(len(body)))
+	}
+	b = append(b, '\r', '\n')
+	return append(b, body...), 0
+}
+
+func bearer(h *http1.Head) string {
+	v, _ := h.Get("Authorization")
+	if len(v) > 7 && strings.EqualFold(v[:7], "Bearer ") {
+		return v[7:]
+	}
+	return ""
+}
+
+// Attempt sends a request as it was rendered: how long a front door waits is not told.
+func (d *product) Attempt(wire []byte, _ int, _ time.Duration) []byte { return wire }
+
+// Probe asks at probes.path.
+func (d *product) Probe(addr string) []byte {
+	b := append([]byte("GET "), d.cfg.Probes.Path...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	return append(append(b, addr...), "\r\n\r\n"...)
+}
+
+// RetryAfter is in whole seconds, rounded up (RFC 9110 section 10.2.3).
+func (d *product) RetryAfter(b []byte, after time.Duration) []byte {
+	return strconv.AppendInt(b, int64((after+time.Second-1)/time.Second), 10)
+}
+
+const loadField = "endpoint-load-metrics"
+
+// Pass leaves out the box's load, which is for this front door alone.
+func (d *product) Pass(b []byte, h *http1.Head) []byte {
+	b = http1.AppendStatus(b, h.Status, h.Reason)
+	b = http1.AppendFields(b, h, func(name string) bool {
+		return len(name) == len(loadField) && http1.EqualName(name, loadField)
+	})
+	b = append(b, "Via: 1.1 "...)
+	b = append(b, d.via...)
+	return append(b, '\r', '\n')
+}
+
+// Report reads what a status says of an attempt: only statuses that the configuration lists mean that the box turned
+// the request away unseen.
+func (d *product) Report(h *http1.Head, _ []byte, _ bool) dialect.Report {
+	var r dialect.Report
+	switch {
+	case slices.Contains(d.cfg.File.Boxes.FullStatuses, h.Status):
+		r.Outcome = choice.Full
+	case h.Status >= 500:
+		r.Outcome = choice.Error
+	}
+	if len(d.cfg.Loads) > 0 {
+		if v, ok := h.Get(loadField); ok {
+			r.Load = parseLoad(v, d.cfg.Loads)
+		}
+	}
+	if d.cfg.Settings.UnitsSettleLater {
+		if v, ok := h.Get(d.cfg.Headers.Units); ok {
+			if x, err := strconv.ParseFloat(v, 64); err == nil && x >= 0 && !math.IsInf(x, 0) {
+				r.Units = x
+			}
+		}
+	}
+	return r
+}
+
+// parseLoad reads a report in the TEXT form of ORCA's endpoint-load-metrics: "TEXT cpu_utilization=0.3,
+// named_metrics.in_flight=4". Figures that are missing or no numbers read as NaN, which the gateway passes over.
+func parseLoad(v string, names []string) []float64 {
+	rest, ok := strings.CutPrefix(v, "TEXT ")
+	if !ok {
+		return nil
+	}
+	load := make([]float64, len(names))
+	for i := range load {
+		load[i] = math.NaN()
+	}
+	for rest != "" {
+		var pair string
+		pair, rest, _ = strings.Cut(rest, ",")
+		name, value, _ := strings.Cut(strings.Trim(pair, " "), "=")
+		for i := range names {
+			if names[i] == name {
+				if x, err := strconv.ParseFloat(value, 64); err == nil {
+					load[i] = x
+				}
+			}
+		}
+	}
+	return load
+}
+
+// Counter speaks RESP. A call is two commands in one round trip: INCRBYFLOAT, and PEXPIRE with NX so that a name's life
+// begins with its first use.
+func (d *product) Counter() dialect.Counter { return &respCounter{} }
+
+type respCounter struct {
+	rd     resp.Reader
+	expiry bool // the next reply is that of PEXPIRE
+}
+
+func (r *respCounter) Call(b []byte, name string, amount float64, ttl time.Duration) []byte {
+	b = resp.AppendCommand(b, "INCRBYFLOAT", name, strconv.FormatFloat(amount, 'g', -1, 64))
+	return resp.AppendCommand(b, "PEXPIRE", name, strconv.FormatInt(ttl.Milliseconds(), 10), "NX")
+}
+
+func (r *respCounter) Feed(b []byte) (int, dialect.Reply, error) {
+	n, v, whole, err := r.rd.Feed(b)
+	if err != nil || !whole {
+		return n, dialect.Reply{}, err
+	}
+	if r.expiry = !r.expiry; !r.expiry {
+		return n, dialect.Reply{}, nil
+	}
+	sum, ok := v.Float()
+	return n, dialect.Reply{Got: true, Added: ok && v.Type != resp.Failed, Total: sum}, nil
+}
--- a/door/rig_test.go
+++ b/door/rig_test.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{T: t, shared: &Shared{Config: cfg, Via: "t"}, now: Start}
+	r := &rig{T: t, shared: &Shared{Config: cfg, Dialect: Product(cfg, "t")}, now: Start}
 	if r.core, err = NewCore(r.shared, 1, r.now); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sockets/line.go
+++ b/internal/sockets/line.go
@@ -140,7 +140,7 @@
 }
 
 // write sends a request; it never blocks.
-func (lc *lineConn) write(ex *door.Exchange) {
+func (lc *lineConn) write(ex *door.Exchange, wire []byte) {
 	lc.mu.Lock()
 	if lc.dead { // its end is on its way to the core, as that of a line on which nothing was sent
 		lc.mu.Unlock()
@@ -148,7 +148,7 @@
 	}
 	lc.m.Expect(ex)
 	lc.ex = ex
-	none := lc.link.write(ex.Wire)
+	none := lc.link.write(wire)
 	if none {
 		lc.dead = true
 	}
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -15,6 +15,7 @@
 
 	"sandyard/config"
 	"sandyard/door"
+	"sandyard/internal/dialect"
 )
 
 // Server is one front door on sockets.
@@ -81,13 +82,18 @@
 	Log  *slog.Logger
 	// Addresses are those of boxes that are elsewhere than the list says, by name.
 	Addresses map[string]string
+	// Dialect is the way in and out; nil is the configuration's own.
+	Dialect dialect.Dialect
 }
 
 // Listen builds a front door on an address; Serve runs it.
 func Listen(cfg *config.Config, addr string, opt Options) (*Server, error) {
+	if opt.Dialect == nil {
+		opt.Dialect = door.Product(cfg, fmt.Sprintf("sandyard-%d", cfg.Door.Number))
+	}
 	s := &Server{cfg: cfg, log: opt.Log, at: opt.Addresses, start: time.Now(), wake: make(chan struct{}, 1),
 		clients: map[*clientConn]struct{}{},
-		shared:  &door.Shared{Config: cfg, Via: fmt.Sprintf("sandyard-%d", cfg.Door.Number)}}
+		shared:  &door.Shared{Config: cfg, Dialect: opt.Dialect}}
 	s.room.L = &s.mu
 	s.debug = s.log.Enabled(context.Background(), slog.LevelDebug)
 	core, err := door.NewCore(s.shared, opt.Seed, door.Start)
@@ -211,7 +217,7 @@
 		if s.shared.Clients.Add(1) > int64(s.cfg.Limits.Connections) {
 			s.conns.Go(func() error {
 				defer s.shared.Clients.Add(-1)
-				turnAway(conn)
+				turnAway(conn, s.shared.Busy())
 				return nil
 			})
 			continue
@@ -237,10 +243,10 @@
 }
 
 // turnAway answers a connection beyond the limit.
-func turnAway(conn *net.TCPConn) {
+func turnAway(conn *net.TCPConn, answer []byte) {
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(lingerTime))
-	if _, err := conn.Write(door.Busy()); err != nil {
+	if _, err := conn.Write(answer); err != nil {
 		return
 	}
 	conn.CloseWrite()
@@ -376,7 +382,7 @@
 		case door.Dial:
 			s.dial(w.Line)
 		case door.Write:
-			w.Line.Owner.(*lineConn).write(w.Exchange)
+			w.Line.Owner.(*lineConn).write(w.Exchange, w.Bytes)
 		case door.Hang:
 			w.Line.Owner.(*lineConn).hang()
 		case door.Final:
--- a/internal/virtual/door.go
+++ b/internal/virtual/door.go
@@ -61,7 +61,7 @@
 func (d *vdoor) start(seed uint64) {
 	d.life++
 	d.began = d.s.now
-	d.shared = &door.Shared{Config: d.cfg, Via: fmt.Sprintf("sandyard-%d", d.number)}
+	d.shared = &door.Shared{Config: d.cfg, Dialect: door.Product(d.cfg, fmt.Sprintf("sandyard-%d", d.number))}
 	d.queue, d.wakes, d.tick, d.clients, d.lines, d.keeper = nil, false, 0, nil, nil, nil
 	core, err := door.NewCore(d.shared, seed, d.now())
 	if err != nil {
@@ -115,7 +115,7 @@
 			case door.Dial:
 				d.dial(w.Line)
 			case door.Write:
-				w.Line.Owner.(*vline).write(w.Exchange)
+				w.Line.Owner.(*vline).write(w.Exchange, w.Bytes)
 			case door.Hang:
 				w.Line.Owner.(*vline).hang()
 			case door.Final:
@@ -194,7 +194,7 @@
 		d.shared.Clients.Add(-1)
 		d.s.reach("connection turned away")
 		e.peer.turned = true
-		e.write(door.Busy())
+		e.write(d.shared.Busy())
 		e.close(false)
 		return
 	}
@@ -416,14 +416,14 @@
 	v.d.post(func() { v.d.core.LineDown(v.d.now(), v.line, unsent) })
 }
 
-func (v *vline) write(ex *door.Exchange) {
+func (v *vline) write(ex *door.Exchange, wire []byte) {
 	if v.dead {
 		return
 	}
 	v.m.Expect(ex)
 	v.ex = ex
 	v.e.began = v.d.s.now
-	v.out = append(v.out, ex.Wire...)
+	v.out = append(v.out, wire...)
 	v.writable(nil)
 }
 
