--- a/config/config.go
+++ b/config/config.go
@@ -142,6 +142,7 @@
 // Limits bound what a front door holds and how long it waits. docs/operate/front-door.md has what happens at each.
 type Limits struct {
 	Connections     int             `yaml:"connections"`
+	Lines           int             `yaml:"lines"`
 	LinesPerBox     int             `yaml:"lines-per-box"`
 	Queue           int             `yaml:"queue"`
 	Memory          strict.Size     `yaml:"memory"`
@@ -149,6 +150,8 @@
 	Head            strict.Size     `yaml:"head"`
 	Fields          int             `yaml:"fields"`
 	HoldAnswer      strict.Size     `yaml:"hold-answer"`
+	Answer          strict.Size     `yaml:"answer"`        // a larger one is taken to be spoilt; 0: there is no such bound
+	FirstTimeout    strict.Duration `yaml:"first-timeout"` // for a new connection's first request to be whole
 	HeadTimeout     strict.Duration `yaml:"head-timeout"`
 	BodyTimeout     strict.Duration `yaml:"body-timeout"`
 	WriteTimeout    strict.Duration `yaml:"write-timeout"`
@@ -156,8 +159,10 @@
 	ConnectTimeout  strict.Duration `yaml:"connect-timeout"`
 	BoxIdleTimeout  strict.Duration `yaml:"box-idle-timeout"`
 	UnsafeIdle      strict.Duration `yaml:"unsafe-idle"`
+	LineRest        strict.Duration `yaml:"line-rest"` // between two requests on a line, so that bytes behind an answer are seen
 	AnswerMargin    strict.Duration `yaml:"answer-margin"`
 	StreamSilence   strict.Duration `yaml:"stream-silence"`
+	StopDelay       strict.Duration `yaml:"stop-delay"` // from the signal to stop until no more connections are taken
 	ShutdownTimeout strict.Duration `yaml:"shutdown-timeout"`
 }
 
@@ -248,8 +253,8 @@
 	f.Units.Most = 1
 	f.Log.Format, f.Log.Level = "json", "info"
 	f.Trace = Trace{Mode: "off", Share: 0.05, FileSize: 64 << 20, Most: 1 << 30, Buffer: 1 << 16}
-	f.Limits = Limits{Connections: 10000, LinesPerBox: 256, Queue: 8192, Memory: 256 << 20, Body: 1 << 20, Head: 32 << 10,
-		Fields: 128, HoldAnswer: 64 << 10, HeadTimeout: strict.Duration(10 * time.Second), BodyTimeout: strict.Duration(30 * time.Second),
+	f.Limits = Limits{Connections: 10000, Lines: 8192, LinesPerBox: 256, Queue: 8192, Memory: 256 << 20, Body: 1 << 20, Head: 32 << 10,
+		Fields: 128, HoldAnswer: 64 << 10, FirstTimeout: strict.Duration(75 * time.Second), HeadTimeout: strict.Duration(10 * time.Second), BodyTimeout: strict.Duration(30 * time.Second),
 		WriteTimeout: strict.Duration(15 * time.Second), IdleTimeout: strict.Duration(75 * time.Second),
 		ConnectTimeout: strict.Duration(250 * time.Millisecond), BoxIdleTimeout: strict.Duration(15 * time.Second),
 		UnsafeIdle: strict.Duration(time.Second), AnswerMargin: strict.Duration(20 * time.Millisecond),
@@ -430,9 +435,9 @@
 		atLeast(d, "trace.buffer", float64(t.Buffer), 64)
 	}
 	l := c.Limits
-	for name, n := range map[string]int{"connections": l.Connections, "lines-per-box": l.LinesPerBox, "queue": l.Queue,
+	for name, n := range map[string]int{"connections": l.Connections, "lines": l.Lines, "lines-per-box": l.LinesPerBox, "queue": l.Queue,
 		"fields": l.Fields, "memory": int(l.Memory), "head": int(l.Head), "hold-answer": int(l.HoldAnswer),
-		"head-timeout": int(l.HeadTimeout), "body-timeout": int(l.BodyTimeout), "write-timeout": int(l.WriteTimeout),
+		"first-timeout": int(l.FirstTimeout), "head-timeout": int(l.HeadTimeout), "body-timeout": int(l.BodyTimeout), "write-timeout": int(l.WriteTimeout),
 		"idle-timeout": int(l.IdleTimeout), "connect-timeout": int(l.ConnectTimeout),
 		"box-idle-timeout": int(l.BoxIdleTimeout), "stream-silence": int(l.StreamSilence),
 		"shutdown-timeout": int(l.ShutdownTimeout)} {
--- a/door/answers.go
+++ b/door/answers.go
@@ -25,6 +25,8 @@
 	tooMany      = says(503, "connections", "Too many connections", "This front door has as many as it may.", true)
 	tooBusy      = says(503, "queue", "Too busy", "This front door has more to decide than it may queue.", true)
 
+	sameName = says(409, "same-name", "Open already", "A request of this name is open.", true)
+
 	noKey       = says(401, "no-key", "No key", "The request carries no key of a studio.", true)
 	wrongKey    = says(401, "unknown-key", "Unknown key", "The key belongs to no studio.", true)
 	noRoute     = says(404, "no-route", "No such path", "The description has no such path.", true)
--- a/door/boxconn.go
+++ b/door/boxconn.go
@@ -90,7 +90,13 @@
 				continue // interim answers speak of this hop, or promise what another attempt may not keep
 			}
 			b.head = part.Head
+			if b.tooLong(part.Head.Length) {
+				return b.broken()
+			}
 		case http1.Data:
+			if b.tooLong(int64(len(b.body) + len(part.Data))) {
+				return b.broken()
+			}
 			if b.flows {
 				out = b.piece(out, part.Data)
 			} else {
@@ -103,6 +109,12 @@
 	}
 }
 
+// tooLong tells that an answer of this length is none that a box makes.
+func (b *BoxConn) tooLong(n int64) bool {
+	most := int64(b.set.Config.Limits.Answer)
+	return most > 0 && n > most
+}
+
 // EOF tells that the box closed the connection.
 func (b *BoxConn) EOF() Answer {
 	if b.ex == nil {
@@ -151,7 +163,7 @@
 	case h.Length >= 0:
 		out = http1.AppendLength(out, h.Length)
 	}
-	out = connection(out, ex.Minor, ex.Close || a.Close || b.set.Draining())
+	out = connection(out, ex.Minor, ex.Close || a.Close || b.set.closes())
 	out = append(out, '\r', '\n')
 	a.Bytes = b.piece(out, b.body)
 	b.body = nil
@@ -185,7 +197,7 @@
 	default:
 		out = http1.AppendLength(out, int64(len(b.body)))
 	}
-	out = connection(out, ex.Minor, ex.Close || b.set.Draining())
+	out = connection(out, ex.Minor, ex.Close || b.set.closes())
 	out = append(out, '\r', '\n')
 	if chunks {
 		out = http1.AppendLastChunk(http1.AppendChunk(out, b.body), trailers)
--- a/door/client.go
+++ b/door/client.go
@@ -50,12 +50,14 @@
 	linger  bool
 	last    bool // the answer under way is the connection's last
 	aborts  bool
+	opened  time.Duration
+	asked   bool // a request has been whole
 }
 
 // NewClient begins a connection. owner is handed on with exchanges; remote is the client's address without a port.
 func NewClient(set *Shared, owner any, remote string, now time.Duration) *Client {
 	l := set.Config.Limits
-	return &Client{set: set, owner: owner, remote: remote, since: now,
+	return &Client{set: set, owner: owner, remote: remote, since: now, opened: now,
 		rd: http1.NewRequests(http1.Limits{Head: int(l.Head), Fields: l.Fields})}
 }
 
@@ -73,21 +75,29 @@
 // Idle tells that nothing of a request has come.
 func (c *Client) Idle() bool { return c.phase == idle && len(c.stash) == 0 }
 
+// Resting tells whether nothing of a request has come, since when, and whether there was one before.
+func (c *Client) Resting() (since time.Duration, asked, idle bool) { return c.since, c.asked, c.Idle() }
+
 // Room tells whether more bytes may be read.
 func (c *Client) Room() bool { return c.phase != waiting || len(c.stash) < mostStash }
 
 // Deadline is when Expired should be called if nothing else happens; 0 is never.
 func (c *Client) Deadline() time.Duration {
-	l := c.set.Config.Limits
+	l, d := c.set.Config.Limits, time.Duration(0)
 	switch c.phase {
 	case idle:
-		return c.since + time.Duration(l.IdleTimeout)
+		d = c.since + time.Duration(l.IdleTimeout)
 	case inHead:
-		return c.since + time.Duration(l.HeadTimeout)
+		d = c.since + time.Duration(l.HeadTimeout)
 	case inBody, skipping:
-		return c.since + time.Duration(l.BodyTimeout)
+		d = c.since + time.Duration(l.BodyTimeout)
+	default:
+		return 0
+	}
+	if !c.asked {
+		d = min(d, c.opened+time.Duration(l.FirstTimeout))
 	}
-	return 0
+	return d
 }
 
 // Expired takes note of the time: slow senders get 408, idle connections are closed.
@@ -170,7 +180,7 @@
 func (c *Client) TurnAway(now time.Duration, ex *Exchange) {
 	c.set.release(ex.held)
 	ex.held = 0
-	c.Answered(now, ex, c.set.own(nil, &tooBusy, ex.Method, ex.Minor, ex.Close || c.set.Draining(), time.Second), false, false)
+	c.Answered(now, ex, c.set.own(nil, &tooBusy, ex.Method, ex.Minor, ex.Close || c.set.closes(), time.Second), false, false)
 }
 
 // Relay appends more of an answer; end tells that it is over, broken that it must be cut off.
@@ -191,7 +201,7 @@
 func (c *Client) finish(now time.Duration) {
 	ex := c.ex
 	c.ex, c.phase, c.since = nil, idle, now
-	if ex.Close || c.last || c.set.Draining() {
+	if ex.Close || c.last || c.set.closes() {
 		c.linger = len(c.stash) > 0
 		c.close()
 	}
@@ -254,7 +264,7 @@
 // answer writes the settled refusal.
 func (c *Client) answer(now time.Duration) {
 	ex, p := c.ex, c.refusal
-	closes := ex.Close || c.set.Draining()
+	closes := ex.Close || c.set.closes()
 	retry := time.Duration(0)
 	if p.Status == 503 {
 		retry = time.Second
@@ -354,6 +364,7 @@
 	ex.held = size
 	ex.Wire, ex.head = c.set.Dialect.Request(make([]byte, 0, size), c.head, c.body, c.tail, c.remote)
 	c.drop()
+	c.asked = true
 	ex.Arrived = min(now, c.came) // its client has waited since its bytes came, not since the answer before it
 	c.phase, c.since = waiting, now
 	return ex
--- a/door/core.go
+++ b/door/core.go
@@ -99,11 +99,13 @@
 	byName     map[string]*box
 	keeper     keeper
 	wishes     []Wish
-	first      []choice.Action // the module's
-	nextState  time.Duration   // when the module's state is recorded next
-	names      []string        // of the list that is handed over
-	events     []choice.Event  // that follow from actions
-	owed       int             // exchanges without a final answer, or whose answer flows
+	first      []choice.Action      // the module's
+	nextState  time.Duration        // when the module's state is recorded next
+	names      []string             // of the list that is handed over
+	open       map[string]*Exchange // by Ask.Name
+	lines      int                  // to all boxes, those being made included
+	events     []choice.Event       // that follow from actions
+	owed       int                  // exchanges without a final answer, or whose answer flows
 	over       bool
 }
 
@@ -114,7 +116,8 @@
 		return nil, err
 	}
 	c := &Core{set: set, gw: gw, rng: rand.New(rand.NewPCG(seed, 1)), now: now,
-		requests: map[choice.RequestID]*Exchange{}, boxes: map[choice.ServerID]*box{}, byName: map[string]*box{}}
+		requests: map[choice.RequestID]*Exchange{}, boxes: map[choice.ServerID]*box{}, byName: map[string]*box{},
+		open: map[string]*Exchange{}}
 	c.first = actions
 	c.carryOut(actions)
 	if c.keeper.addr = set.Config.Keeper.Address; c.keeper.addr != "" {
@@ -150,10 +153,7 @@
 
 // Sizes are the lengths of the core's tables, for those who watch that they stay bounded.
 func (c *Core) Sizes() (requests, timers, lines int) {
-	for _, b := range c.order {
-		lines += b.lines
-	}
-	return len(c.requests), len(c.timers.heap), lines
+	return len(c.requests), len(c.timers.heap), c.lines
 }
 
 // Next is when Tick has to be called if nothing else happens.
@@ -236,8 +236,21 @@
 
 // Arrive takes an exchange in. It is owed a final answer within its patience, less limits.answer-margin, which is
 // kept for the way back.
+//
+// One with the name of another that is open is turned away: boxes know them by that name.
 func (c *Core) Arrive(now time.Duration, ex *Exchange) {
 	c.at(now)
+	if ex.Name != "" {
+		if c.open[ex.Name] != nil {
+			ex.state = Done
+			ex.Status = sameName.Status
+			c.wish(Wish{Kind: Final, Exchange: ex, Bytes: c.set.own(nil, &sameName, ex.Method, ex.Minor, ex.Close || c.set.closes(), 0)})
+			c.set.release(ex.held)
+			ex.held = 0
+			return
+		}
+		c.open[ex.Name] = ex
+	}
 	c.lastID++
 	ex.ID, ex.state = c.lastID, Deciding
 	c.requests[ex.ID] = ex
@@ -295,7 +308,7 @@
 	ex.Status = p.Status
 	c.owed--
 	c.wish(Wish{Kind: Final, Exchange: ex,
-		Bytes: c.set.own(nil, &p, ex.Method, ex.Minor, ex.Close || c.set.Draining(), retry)})
+		Bytes: c.set.own(nil, &p, ex.Method, ex.Minor, ex.Close || c.set.closes(), retry)})
 	c.forget(ex)
 }
 
@@ -303,6 +316,9 @@
 func (c *Core) forget(ex *Exchange) {
 	if ex.state == Done && ex.open == 0 && c.requests[ex.ID] == ex {
 		delete(c.requests, ex.ID)
+		if ex.Name != "" {
+			delete(c.open, ex.Name)
+		}
 		c.set.release(ex.held)
 		ex.held = 0
 	}
@@ -341,9 +357,13 @@
 	if !ex.isProbe && c.set.Config.Settings.Classes[ex.Class].Repeat == choice.Unsafe {
 		longest = min(longest, time.Duration(l.UnsafeIdle))
 	}
-	if last := len(b.idle) - 1; last >= 0 && c.now-b.idle[last].used <= longest {
+	last := len(b.idle) - 1
+	for last >= 0 && c.now-b.idle[last].used < time.Duration(l.LineRest) {
+		last--
+	}
+	if last >= 0 && c.now-b.idle[last].used <= longest {
 		line := b.idle[last]
-		b.idle[last], b.idle = nil, b.idle[:last]
+		b.idle = slices.Delete(b.idle, last, last+1)
 		ex.attempts[n].line = line
 		c.write(line, ex, n)
 		return
@@ -355,9 +375,14 @@
 		}
 		c.hang(b.idle[0]) // too long idle for this request
 	}
+	if c.lines >= l.Lines && !c.spare() {
+		c.lose(ex, n, choice.Void, false)
+		return
+	}
 	c.lastLine++
 	line := &Line{Addr: b.addr, stamp: b.stamp, box: b, state: connecting, used: c.now, ex: ex, n: n, id: c.lastLine}
 	b.lines++
+	c.lines++
 	ex.attempts[n].line = line
 	c.Stats.Dials++
 	c.wish(Wish{Kind: Dial, Line: line, Addr: line.Addr})
@@ -381,10 +406,26 @@
 	}
 	l.state, l.ex = down, nil
 	l.box.lines--
+	c.lines--
 	c.wish(Wish{Kind: Hang, Line: l})
 	c.unlist(l.box)
 }
 
+// spare closes the line that has been idle for longest, to make room for another.
+func (c *Core) spare() bool {
+	var oldest *Line
+	for _, b := range c.order {
+		if len(b.idle) > 0 && (oldest == nil || b.idle[0].used < oldest.used) {
+			oldest = b.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	c.hang(oldest)
+	return true
+}
+
 // unlist forgets a box that the list no longer has, once it has no lines.
 func (c *Core) unlist(b *box) {
 	if !b.listed && b.lines == 0 && c.byName[b.name] == b {
@@ -485,6 +526,7 @@
 	}
 	l.state, l.ex = down, nil
 	l.box.lines--
+	c.lines--
 	if ex != nil {
 		o := choice.Reset
 		if was == connecting || unsent {
@@ -700,15 +742,26 @@
 // List takes a whole list in. origin is the calendar time at which this core's clock stood at zero: what tells when
 // boxes started is a calendar time.
 func (c *Core) List(now time.Duration, boxes []config.Box, origin time.Time) {
-	c.at(now)
-	e := choice.ServersChanged{Full: true}
 	for _, b := range c.order {
 		b.listed = false
 	}
+	c.entries(now, boxes, origin, choice.ServersChanged{Full: true})
+}
+
+// Changes takes in what has changed of the list; other boxes stay as they are.
+func (c *Core) Changes(now time.Duration, boxes []config.Box, origin time.Time) {
+	c.entries(now, boxes, origin, choice.ServersChanged{})
+}
+
+func (c *Core) entries(now time.Duration, boxes []config.Box, origin time.Time, e choice.ServersChanged) {
+	c.at(now)
 	for i := range boxes {
 		in := &boxes[i]
 		b := c.byName[in.Name]
 		if b == nil {
+			if choice.ServerState(in.State) == choice.Gone {
+				continue // one that was never known
+			}
 			c.lastServer++
 			b = &box{name: in.Name, entry: choice.ServerEntry{Server: c.lastServer}}
 			c.byName[in.Name], c.boxes[b.entry.Server] = b, b
@@ -716,7 +769,8 @@
 		}
 		moved := b.addr != in.Address
 		another := moved || !time.Time(b.stamp).Equal(time.Time(in.Started))
-		b.addr, b.stamp, b.listed = in.Address, in.Started, true // listed first: unlist drops a box that is not, with its last line
+		b.addr, b.stamp = in.Address, in.Started
+		b.listed = true // first: unlist drops a box that is not, with its last line
 		if moved {
 			b.way = way{}
 		}
@@ -732,7 +786,11 @@
 			b.told = c.now
 		}
 		b.entry = entry
+		b.listed = e.Full || entry.State != choice.Gone // what is gone is told once
 		e.Entries = append(e.Entries, entry)
+		if c.Record != nil {
+			c.names = append(c.names, in.Name)
+		}
 	}
 	for _, b := range slices.Clone(c.order) {
 		if !b.listed && b.entry.State == choice.Up {
@@ -743,17 +801,30 @@
 			c.unlist(b)
 		}
 	}
-	c.names = nil
-	if c.Record != nil {
-		for i := range boxes {
-			c.names = append(c.names, boxes[i].Name)
-		}
-	}
 	c.hand(e, 0)
 	c.names = nil
 	c.settle()
 }
 
+// Count from now on at another counter; its connection is made anew.
+func (c *Core) Count(now time.Duration, addr string) {
+	c.at(now)
+	k := &c.keeper
+	if addr == k.addr {
+		return
+	}
+	k.addr = addr
+	if k.up || k.dialing {
+		c.wish(Wish{Kind: HangKeeper})
+		c.keeperLost()
+	}
+	k.backoff = 0
+	if addr != "" {
+		c.dialKeeper()
+	}
+	c.settle()
+}
+
 // retire closes a box's idle lines.
 func (c *Core) retire(b *box) {
 	for len(b.idle) > 0 {
--- a/door/doc.go
+++ b/door/doc.go
@@ -34,14 +34,24 @@
 	Dialect  dialect.Dialect
 	Memory   atomic.Int64 // bytes of bodies held
 	Clients  atomic.Int64 // connections
+	leaving  atomic.Bool
 	draining atomic.Bool
 }
 
-// Draining tells whether the front door is shutting down: answers then close their connections.
+// BeginLeave begins the end: answers close their connections, but requests are still taken.
+func (s *Shared) BeginLeave() { s.leaving.Store(true) }
+
+// closes tells whether answers close their connections.
+func (s *Shared) closes() bool { return s.leaving.Load() }
+
+// Draining tells whether the front door is shutting down: it takes no more requests.
 func (s *Shared) Draining() bool { return s.draining.Load() }
 
-// BeginDrain begins the end: new requests are refused, and answers close their connections.
-func (s *Shared) BeginDrain() { s.draining.Store(true) }
+// BeginDrain ends the taking of requests: new ones are refused, and answers close their connections.
+func (s *Shared) BeginDrain() {
+	s.leaving.Store(true)
+	s.draining.Store(true)
+}
 
 // reserve takes room for n bytes, if limits.memory has it.
 func (s *Shared) reserve(n int) bool {
--- a/door/keeper.go
+++ b/door/keeper.go
@@ -130,7 +130,7 @@
 }
 
 func (c *Core) dialKeeper() {
-	if k := &c.keeper; !k.up && !k.dialing && !c.over {
+	if k := &c.keeper; !k.up && !k.dialing && !c.over && k.addr != "" {
 		k.dialing = true
 		c.wish(Wish{Kind: DialKeeper, Addr: k.addr})
 	}
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -73,6 +73,7 @@
 func Gateway(args []string, out, errs io.Writer) int {
 	var g struct {
 		Serve   serve   `cmd:"" help:"Run one front door."`
+		Node    node    `cmd:"" help:"Run one front door on the operators' platform."`
 		Check   check   `cmd:"" help:"Check a configuration and all files it names."`
 		Version version `cmd:"" help:"Print the version."`
 	}
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -126,6 +126,8 @@
 		return "Method Not Allowed"
 	case 408:
 		return "Request Timeout"
+	case 409:
+		return "Conflict"
 	case 413:
 		return "Content Too Large"
 	case 414:
--- /dev/null
+++ b/internal/platform/counter.go
@@ -0,0 +1,48 @@
+package platform
+
+import (
+	"bytes"
+	"math"
+	"strconv"
+	"time"
+
+	"sandyard/internal/dialect"
+)
+
+const mostLine = 256 // bytes of a counter's reply
+
+// counter speaks the counter's lines: "add NAME AMOUNT MILLISECONDS", answered "ok TOTAL", "busy" or "error".
+type counter struct{ line []byte }
+
+func (c *counter) Call(b []byte, name string, amount float64, ttl time.Duration) []byte {
+	b = append(append(append(b, "add "...), name...), ' ')
+	b = strconv.AppendFloat(b, amount, 'f', -1, 64)
+	b = append(b, ' ')
+	b = strconv.AppendInt(b, max(1, ttl.Milliseconds()), 10)
+	return append(b, '\r', '\n')
+}
+
+func (c *counter) Feed(b []byte) (int, dialect.Reply, error) {
+	n := bytes.IndexByte(b, '\n') + 1
+	if n == 0 {
+		n = len(b)
+	}
+	if len(c.line)+n > mostLine {
+		return n, dialect.Reply{}, dialect.ErrSpoilt
+	}
+	c.line = append(c.line, b[:n]...)
+	if len(c.line) == 0 || c.line[len(c.line)-1] != '\n' {
+		return n, dialect.Reply{}, nil
+	}
+	line := string(bytes.TrimRight(c.line, "\r\n"))
+	c.line = c.line[:0]
+	switch {
+	case line == "busy", line == "error":
+		return n, dialect.Reply{Got: true}, nil
+	case len(line) > 3 && line[:3] == "ok ":
+		if x, err := strconv.ParseFloat(line[3:], 64); err == nil && !math.IsNaN(x) && !math.IsInf(x, 0) {
+			return n, dialect.Reply{Got: true, Added: true, Total: x}, nil
+		}
+	}
+	return n, dialect.Reply{}, dialect.ErrSpoilt
+}
--- a/internal/sockets/client.go
+++ b/internal/sockets/client.go
@@ -109,7 +109,7 @@
 	d := cc.m.Deadline()
 	if d != 0 && (cc.armed == 0 || cc.armed > d) {
 		cc.armed = d
-		cc.link.conn.SetReadDeadline(cc.s.start.Add(d - door.Start))
+		cc.link.conn.SetReadDeadline(cc.s.origin().Add(d))
 	}
 }
 
--- a/internal/sockets/list.go
+++ b/internal/sockets/list.go
@@ -11,6 +11,10 @@
 // watchList reads the list of boxes and begins to watch it; the function returned goes on until its context ends. The
 // folder is watched rather than the file, since a file that is replaced atomically is another file.
 func (s *Server) watchList() (func(context.Context) error, error) {
+	if s.disco != nil {
+		s.post(post{kind: list, boxes: slices.Clone(s.cfg.Boxes)})
+		return s.disco.watch, nil
+	}
 	w, err := fsnotify.NewWatcher()
 	if err != nil {
 		return nil, err
--- a/internal/sockets/recorder.go
+++ b/internal/sockets/recorder.go
@@ -63,8 +63,8 @@
 		return nil, err
 	}
 	r := &recorder{s: s, cfg: t, dir: dir, w: w, stop: make(chan struct{}), ended: make(chan struct{}), names: map[choice.ServerID]string{}}
-	r.head = trace.Head{Core: identity.Core(), Config: s.cfg.Digest, Door: s.cfg.Door.Number, Seed: seed, Began: door.Start,
-		Origin: s.start.Add(-door.Start).UnixNano(), Settings: s.cfg.Settings, Classes: s.cfg.Names, Share: 1}
+	r.head = trace.Head{Core: identity.Core(), Config: s.cfg.Digest, Door: s.cfg.Door.Number, Seed: seed, Began: s.began,
+		Origin: s.origin().UnixNano(), Settings: s.cfg.Settings, Classes: s.cfg.Names, Share: 1}
 	if t.Mode == "sampled" {
 		r.head.Share = t.Share
 	}
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	r.opened = r.file
-	r.steps = append(r.steps, s.core.First(door.Start))
+	r.steps = append(r.steps, s.core.First(s.began))
 	s.core.Record = r.record
 	return r, nil
 }
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -24,14 +24,16 @@
 	at     map[string]string
 	shared *door.Shared
 	log    *slog.Logger
-	start  time.Time // the clock's origin, with its monotonic reading
+	start  time.Time     // when it was built, with its monotonic reading
+	began  time.Duration // the same on the front door's clock
 	core   *door.Core
 	ln     *net.TCPListener
 	hard   context.Context // ends when connections are to be closed
 	end    context.CancelFunc
 	conns  errgroup.Group // goroutines of connections
 	keeper *keeperConn
-	rec    *recorder // nil: nothing is recorded
+	disco  *discovery // nil: the list is a file
+	rec    *recorder  // nil: nothing is recorded
 	debug  bool
 
 	mu     sync.Mutex
@@ -60,6 +62,8 @@
 	keeperBytes
 	list
 	listFailed
+	changes
+	counter
 	inquiry
 )
 
@@ -84,6 +88,10 @@
 	Addresses map[string]string
 	// Dialect is the way in and out; nil is the configuration's own.
 	Dialect dialect.Dialect
+	// Discovery is the address at which the list of boxes is watched; empty: the list is the configuration's file.
+	Discovery string
+	// Seq is the version of the list that the configuration holds, for Discovery.
+	Seq uint64
 }
 
 // Listen builds a front door on an address; Serve runs it.
@@ -95,8 +103,12 @@
 		clients: map[*clientConn]struct{}{},
 		shared:  &door.Shared{Config: cfg, Dialect: opt.Dialect}}
 	s.room.L = &s.mu
+	s.began = time.Duration(s.start.UnixNano())
+	if opt.Discovery != "" {
+		s.disco = newDiscovery(s, opt.Discovery, opt.Seq)
+	}
 	s.debug = s.log.Enabled(context.Background(), slog.LevelDebug)
-	core, err := door.NewCore(s.shared, opt.Seed, door.Start)
+	core, err := door.NewCore(s.shared, opt.Seed, s.began)
 	if err != nil {
 		return nil, err
 	}
@@ -118,8 +130,12 @@
 // Addr is where the front door listens.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
-// now is the front door's time. It follows the monotonic clock: steps of the machine's clock don't touch it.
-func (s *Server) now() time.Duration { return door.Start + time.Since(s.start) }
+// now is the front door's time, since 1970: what customers have used is kept at the counter by time, so that all front
+// doors must have one. From the start on it follows the monotonic clock: steps of the machine's clock don't touch it.
+func (s *Server) now() time.Duration { return s.began + time.Since(s.start) }
+
+// origin is when that clock stood at zero.
+func (s *Server) origin() time.Time { return s.start.Add(-s.began) }
 
 // post queues a message. It never blocks. Only arrivals can be turned down, when limits.queue messages wait: what
 // ends work must always get through, and is bounded by the work there is.
@@ -166,6 +182,11 @@
 	g.Go(s.accept)
 	g.Go(func() error {
 		<-gctx.Done()
+		if delay := time.Duration(s.cfg.Limits.StopDelay); delay > 0 && ctx.Err() != nil {
+			s.shared.BeginLeave()
+			s.ln.SetDeadline(time.Now().Add(delay)) // what has come in by then is accepted
+			return nil
+		}
 		s.ln.Close()
 		s.mu.Lock()
 		s.room.Broadcast()
@@ -211,10 +232,18 @@
 				wait = min(2*wait, time.Second)
 				continue
 			}
+			if isTimeout(err) {
+				return nil
+			}
 			return err
 		}
 		wait = 5 * time.Millisecond
-		if s.shared.Clients.Add(1) > int64(s.cfg.Limits.Connections) {
+		if n := s.shared.Clients.Add(1); n > int64(s.cfg.Limits.Connections) && !s.evict() {
+			if n > int64(s.cfg.Limits.Connections)+mostTurned { // not even for an answer there is room
+				s.shared.Clients.Add(-1)
+				conn.Close()
+				continue
+			}
 			s.conns.Go(func() error {
 				defer s.shared.Clients.Add(-1)
 				turnAway(conn, s.shared.Busy())
@@ -242,6 +271,40 @@
 	}
 }
 
+const (
+	mostTurned = 16              // connections beyond the limit that get an answer at a time
+	restTime   = 2 * time.Second // that a connection must have been idle to make room for another
+)
+
+// evict closes a connection to make room for another: one that has asked nothing yet, or the one that has been idle for
+// longest.
+func (s *Server) evict() bool {
+	s.cmu.Lock()
+	var least *clientConn
+	var rank time.Duration
+	now := s.now()
+	for cc := range s.clients {
+		cc.mu.Lock()
+		since, asked, idle := cc.m.Resting()
+		shut := cc.closed
+		cc.mu.Unlock()
+		if shut || !idle || asked && now-since < restTime {
+			continue
+		}
+		if !asked {
+			since -= time.Hour // before all that have
+		}
+		if least == nil || since < rank {
+			least, rank = cc, since
+		}
+	}
+	s.cmu.Unlock()
+	if least != nil {
+		least.shut()
+	}
+	return least != nil
+}
+
 // turnAway answers a connection beyond the limit.
 func turnAway(conn *net.TCPConn, answer []byte) {
 	defer conn.Close()
@@ -261,6 +324,7 @@
 // drain waits until all that is held is answered, or limits.shutdown-timeout is over.
 func (s *Server) drain() {
 	s.shared.BeginDrain()
+	s.ln.Close()
 	limit := time.NewTimer(time.Duration(s.cfg.Limits.ShutdownTimeout))
 	defer limit.Stop()
 	for {
@@ -365,7 +429,11 @@
 			c.KeeperFeed(now, p.bytes)
 		}
 	case list:
-		c.List(now, p.boxes, s.start.Add(-door.Start))
+		c.List(now, p.boxes, s.origin())
+	case changes:
+		c.Changes(now, p.boxes, s.origin())
+	case counter:
+		c.Count(now, string(p.bytes))
 	case listFailed:
 		c.ListFailed(now)
 	case inquiry:
@@ -402,7 +470,9 @@
 			s.keeper.hang()
 			s.keeper = nil
 		case door.ReadList:
-			s.readList()
+			if s.disco == nil { // discovery is watched from the start
+				s.readList()
+			}
 		}
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -14,6 +14,14 @@
 	values map[string]string
 }
 
+// Settings reads settings as path=value pairs, for those that have them from elsewhere than the wire. The error names
+// the first that is wrong.
+func Settings(parts []string) (choice.Settings, error) {
+	f := &fields{line: 1, parts: []string{"settings"}}
+	s := settings(f, parts)
+	return s, f.err
+}
+
 func settings(f *fields, parts []string) choice.Settings {
 	p := pairs{f: f, values: make(map[string]string, len(parts))}
 	for _, part := range parts {
