A read deadline that has passed no longer keeps a client's reader turning

Checked: the log shows no list or reload then; the core's timers and lists were excluded by reading: nothing there repeats without an event. Cause: clientConn.run in internal/sockets/client.go: with a deadline that passes while an answer is awaited, Client.Deadline is 0, arm sets none, and the old one ends every read at once until the answer comes. Change: link.unarm takes the deadline back.

--- a/internal/sockets/client.go
+++ b/internal/sockets/client.go
@@ -62,6 +62,8 @@
 		switch {
 		case isTimeout(err) && !cc.link.broken():
 			cc.armed = 0
+			cc.s.expiries.Add(1)
+			cc.link.unarm() // a deadline that has passed would end every read from now on at once
 			cc.m.Expired(now)
 			cc.after(now, nil)
 		case err != nil:
--- a/internal/sockets/link.go
+++ b/internal/sockets/link.go
@@ -178,6 +178,15 @@
 	l.conn.SetReadDeadline(time.Unix(1, 0)) // the reader finds out
 }
 
+// unarm takes the read deadline back, unless it is there to end the reading for good.
+func (l *link) unarm() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.failed {
+		l.conn.SetReadDeadline(time.Time{})
+	}
+}
+
 // pending is how many bytes are kept.
 func (l *link) pending() int {
 	l.mu.Lock()
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,6 +37,8 @@
 	rec    *recorder  // nil: nothing is recorded
 	debug  bool
 
+	expiries atomic.Int64 // reads of clients that ended by their deadline
+
 	mu     sync.Mutex
 	queue  []post
 	asleep bool
@@ -206,7 +209,7 @@
 	st := s.core.Stats
 	s.log.Info("stopped", "arrived", st.Arrived, "served", st.Served, "refused_quota", st.RefusedQuota,
 		"refused_room", st.RefusedRoom, "failed", st.Failed, "left", st.Left, "broken", st.Broken,
-		"attempts", st.Attempts, "dials", st.Dials, "keeper_calls", st.KeeperCalls)
+		"attempts", st.Attempts, "dials", st.Dials, "expiries", s.expiries.Load(), "keeper_calls", st.KeeperCalls)
 	return err
 }
 
