Refusals tell clients when to come back, where the settings allow it

Checked by a probe in the core, printed every 5 s: all loops stand at 1 and U at 0.5 to 0.6, so that load refuses nobody; nearly all refusals are beyond the quota, and the counter turns away 10 to 25% of the calls. Faulty lines: both Refuse in end of choice.go set no RetryAfter. Change: comeBack tells when the counter may be asked, the split has filled or an attempt is likely over, at most a tenth of the aim.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,6 +40,7 @@
 	forgotten      = 0.5                    // share of a total as heard, faded, below which it was lost
 	mostFades      = 45.0                   // life of a counter name in fading times, short of overflow
 	mostLife       = 50 * time.Second       // but no longer
+	awayShare      = 0.1                    // most of an aim that a client is told to stay away: a few tries fit in
 	mostWait       = 1.0                    // seconds until a customer beyond its quota is asked about again
 	addEvery       = 250 * time.Millisecond // how long use is kept before it is added
 	askLess        = 0.85                   // factor on the chance of a call after a refused answer
@@ -935,15 +936,37 @@
 	promise := class.Repeat == Safe || !r.ran && !out || class.Repeat == Keyed && class.Scope == ScopeAll
 	switch {
 	case owed && promise && len(r.attempts) == 0:
-		g.do(Refuse{Request: r.id, Why: r.why})
+		g.do(Refuse{Request: r.id, Why: r.why, RetryAfter: g.comeBack(r)})
 	case owed && promise:
-		g.do(Refuse{Request: r.id, Why: NoRoom})
+		r.why = NoRoom
+		g.do(Refuse{Request: r.id, Why: r.why, RetryAfter: g.comeBack(r)})
 	case owed:
 		g.do(Fail{Request: r.id})
 	}
 	g.drop(r)
 }
 
+// comeBack is when another try has a chance: beyond the quota, when the counter may be asked again, or the split has
+// filled, or an attempt that is out is likely over; for want of room, when the loops have moved.
+func (g *Gateway) comeBack(r *request) time.Duration {
+	if !g.set.RetryAfter {
+		return 0
+	}
+	c, wait := r.customer, period
+	switch {
+	case r.why != OverQuota:
+	case c.next > g.now:
+		wait = c.next - g.now
+	case c.quota.rate > 0:
+		short := max(0, r.units-c.level) / (c.quota.rate / c.spread)
+		wait = time.Duration(min(mostWait, short) * float64(time.Second))
+	default:
+		wait = time.Duration(g.latency[r.class].mean * float64(time.Second))
+	}
+	most := time.Duration(awayShare * float64(g.set.Classes[r.class].Aim))
+	return min(max(tick, min(wait, most)), max(0, g.set.MaxRetryAfter))
+}
+
 // deadline is the backstop: an answer while the client still waits, and later an end to attempts never heard
 // of.
 func (g *Gateway) deadline(id RequestID) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1144,3 +1144,32 @@
 		t.Errorf("%d sent in 300 s, where one a second is meant; %d of them as the fourth or later in a second", len(sent), over)
 	}
 }
+
+// A refusal says when to come back: no sooner than makes sense, within what clients heed, and a few tries fit in the
+// aim; nothing is said where the settings don't allow it.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		set := basic()
+		set.RetryAfter, set.MaxRetryAfter = allowed, 500*time.Millisecond
+		set.Plans = []choice.Plan{{Rate: 20, Burst: 1, Price: 1, OverCost: 1}}
+		b := start(t, set, time.Second, up(1, 2)...)
+		told := []time.Duration{}
+		for range 4 {
+			id := b.next
+			b.next++
+			for _, a := range b.tell(choice.Arrived{Request: id, Customer: "c", Left: 2 * time.Second, Units: 1, Spread: 1}) {
+				if a, ok := a.(choice.Refuse); ok {
+					told = append(told, a.RetryAfter)
+				}
+			}
+		}
+		if len(told) != 3 {
+			t.Fatalf("%d refused of 4 with a burst of 1", len(told))
+		}
+		for _, d := range told {
+			if most := set.Classes[0].Aim / 2; allowed != (d > 0) || d > most {
+				t.Errorf("allowed %v: told %v, at most %v was expected", allowed, d, most)
+			}
+		}
+	}
+}
