What fits under a limit of attempts out is judged by how long attempts take

Faulty line: chance in choice.go took a limit of attempts out to pass most over the fading time of a counted attempt, 1.1 s, ten times what attempts take. Change: the class's mean latency stands there. The new test lets in 3 of 50 without the change.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,7 +40,7 @@
 	forgotten      = 0.5                    // share of a total as heard, faded, below which it was lost
 	mostFades      = 45.0                   // life of a counter name in fading times, short of overflow
 	mostLife       = 50 * time.Second       // but no longer
-	awayShare      = 0.1                    // most of an aim that a client is told to stay away: a few tries fit in
+	awayShare      = 0.1                    // most of an aim that a client is told to stay away
 	mostWait       = 1.0                    // seconds until a customer beyond its quota is asked about again
 	addEvery       = 250 * time.Millisecond // how long use is kept before it is added
 	askLess        = 0.85                   // factor on the chance of a call after a refused answer
@@ -399,19 +399,20 @@
 }
 
 // chance is how likely a try is inside the quota if nothing is asked: this gateway's split of the quota over
-// the time of its memory, against what it was asked in that time. Where it hardly ever sees the customer, as
-// many as the counter lets in of all such tries.
-func (g *Gateway) chance(c *customer) float64 {
+// the time of its memory, against what it was asked in that time; where attempts out are limited, as many as
+// can be over in that time. Where it hardly ever sees the customer, as many as the counter lets in of all
+// such tries.
+func (g *Gateway) chance(c *customer, class ClassID) float64 {
 	share := c.quota.rate / c.spread * memory.Seconds()
 	if c.quota.rate == 0 {
-		share = c.quota.most / c.quota.fade / c.spread * memory.Seconds()
+		share = c.quota.most / max(tick.Seconds(), g.latency[class].mean) / c.spread * memory.Seconds()
 	}
 	return min(1, (prior*g.lets[c.plan].value+share)/(prior+c.seen))
 }
 
 // guess decides on a try of which the counter tells nothing: let in where that is worth more than it costs.
-func (g *Gateway) guess(c *customer, units float64) bool {
-	p, chance := g.set.Plans[c.plan], g.chance(c)
+func (g *Gateway) guess(c *customer, class ClassID, units float64) bool {
+	p, chance := g.set.Plans[c.plan], g.chance(c, class)
 	switch {
 	case !c.ceilingHolds(p, units):
 		return false
@@ -488,7 +489,7 @@
 		if k.r == nil || k.r.ended {
 			return
 		}
-		in := g.guess(c, k.r.units)
+		in := g.guess(c, k.r.class, k.r.units)
 		if e.Outcome == TimedOut && !in { // may have been added
 			g.takeBack(k.r)
 		}
@@ -752,10 +753,10 @@
 		switch l := g.loops[g.rank[e.Class][c.plan]]; {
 		case c.hash >= l.f: // not worth a call
 			g.admit(r, true, false)
-		case g.mayCall(g.chance(c) * g.set.Plans[c.plan].Price / g.dear):
+		case g.mayCall(g.chance(c, e.Class) * g.set.Plans[c.plan].Price / g.dear):
 			g.call(c, r.units, r)
 		default:
-			g.admit(r, g.guess(c, r.units), false)
+			g.admit(r, g.guess(c, r.class, r.units), false)
 		}
 	}
 	if !e.Retry {
@@ -946,8 +947,8 @@
 	g.drop(r)
 }
 
-// comeBack is when another try has a chance: beyond the quota, when the counter may be asked again, or the split has
-// filled, or an attempt that is out is likely over; for want of room, when the loops have moved.
+// comeBack is when another try has a chance: beyond the quota, when the counter may be asked or the split
+// has filled, or an attempt that is out is likely over; for want of room, when the loops have moved.
 func (g *Gateway) comeBack(r *request) time.Duration {
 	if !g.set.RetryAfter {
 		return 0
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1173,3 +1173,25 @@
 		}
 	}
 }
+
+// A plan that limits attempts out is about how long they take: where they are quick, many fit in a second, and a
+// counter that turns calls away does not keep them out.
+func TestQuickAttemptsFitUnderAnOpenCap(t *testing.T) {
+	set := basic()
+	set.Gateways = 4
+	set.Plans = []choice.Plan{{Open: 2, Price: 1, OverCost: 0.8}}
+	b := start(t, set, time.Second, up(1, 2)...)
+	b.counter = func(choice.Count) (choice.Outcome, float64) { return choice.Full, 0 }
+	sent := 0
+	for range 50 {
+		id, s, ok := b.ask("c", 0, 4)
+		if b.wait(50 * time.Millisecond); ok {
+			sent++
+			b.answer(id, s, choice.OK)
+		}
+		b.wait(150 * time.Millisecond)
+	}
+	if sent < 45 {
+		t.Errorf("%d of 50 tries let in, one at a time, 50 ms each, under a limit of 2", sent)
+	}
+}
