Use that the counter could not be told of is kept and told later

Faulty lines: addUse in choice.go dropped what it might not tell at once, and counted dropped what a call that was turned away carried, a take-back's too, so that totals were scaled up by guess. Change: such use waits, fading as it would at the counter, and goes with a later call.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -355,19 +355,20 @@
 // call adds units to a customer's total, with those that were not added before; r, if any, waits for it.
 func (g *Gateway) call(c *customer, units float64, r *request) {
 	w, name := g.weight(c)
-	units += c.fresh
+	rest := c.fresh
 	c.fresh = 0
 	if r != nil {
 		r.name, r.weight = name, w
 	}
-	g.calls[name] = append(g.calls[name], call{c: c, r: r, weight: w, at: g.now})
-	g.do(Count{Name: name, Amount: units * w, TTL: nameLife})
+	g.calls[name] = append(g.calls[name], call{c: c, r: r, weight: w, units: rest, at: g.now})
+	g.do(Count{Name: name, Amount: (units + rest) * w, TTL: nameLife})
 }
 
 // takeBack undoes what was added for a request: refused in the end, or an attempt that is no longer out.
 func (g *Gateway) takeBack(r *request) {
 	r.told = false
-	g.calls[r.name] = append(g.calls[r.name], call{c: r.customer, weight: r.weight, at: g.now})
+	k := call{c: r.customer, weight: r.weight, units: -r.units, at: g.now}
+	g.calls[r.name] = append(g.calls[r.name], k)
 	g.do(Count{Name: r.name, Amount: -r.units * r.weight, TTL: nameLife})
 }
 
@@ -436,8 +437,12 @@
 	if !c.asks || c.quota.rate == 0 {
 		return
 	}
-	c.fresh += units
-	if !c.queued {
+	g.addLater(c, units)
+}
+
+// addLater keeps units until they may be added.
+func (g *Gateway) addLater(c *customer, units float64) {
+	if c.fresh += units; !c.queued {
 		c.queued, c.addAt = true, g.now+addEvery
 		g.due = append(g.due, c)
 	}
@@ -450,11 +455,13 @@
 			return false
 		}
 		if c.fresh != 0 {
-			told := g.mayCall(1)
-			if g.told.add(one(told), g.now); told {
-				g.call(c, 0, nil)
+			if !g.mayCall(1) { // it is kept, and fades as it would at the counter
+				c.fresh *= math.Exp(-(g.now + addEvery - c.addAt).Seconds() / c.quota.fade)
+				c.addAt = g.now + addEvery
+				return false
 			}
-			c.fresh = 0
+			g.told.add(1, g.now)
+			g.call(c, 0, nil)
 		}
 		c.queued = false
 		return true
@@ -485,6 +492,9 @@
 		g.takeBack(r) // its client is gone
 	}
 	g.settle(c)
+	if k.units != 0 && (e.Outcome == Full || e.Outcome == ConnectFailed) {
+		g.addLater(c, k.units*math.Exp(-(g.now-k.at).Seconds()/c.quota.fade))
+	}
 	if !ok {
 		if k.r == nil || k.r.ended {
 			return
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1195,3 +1195,32 @@
 		t.Errorf("%d of 50 tries let in, one at a time, 50 ms each, under a limit of 2", sent)
 	}
 }
+
+// What is spent without asking reaches the counter in the end, however many calls it turns away meanwhile.
+func TestUseIsToldInTheEnd(t *testing.T) {
+	told := func(turnsAway bool) (sum float64) {
+		set := basic()
+		set.Gateways = 2
+		set.Plans = []choice.Plan{{Rate: 1, Burst: 1000, Price: 1, OverCost: 1}}
+		b := start(t, set, time.Second, up(1, 2)...)
+		calls := 0
+		b.counter = func(c choice.Count) (choice.Outcome, float64) {
+			if calls++; turnsAway && calls%4 != 0 {
+				return choice.Full, 0
+			}
+			sum += c.Amount
+			return choice.OK, sum
+		}
+		for i := range 400 {
+			if id, s, ok := b.ask(fmt.Sprint("c", i%8), 0, 2); ok {
+				b.answer(id, s, choice.OK)
+			}
+			b.wait(10 * time.Millisecond)
+		}
+		b.wait(10 * time.Second)
+		return sum
+	}
+	if all, some := told(false), told(true); some < 0.95*all {
+		t.Errorf("a counter that turns three calls of four away was told of %.0f units, another of %.0f", some, all)
+	}
+}
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -106,6 +106,7 @@
 	Customer int
 	Request  int // from 1; 0: none waits for it
 	Weight   float64
+	Units    float64
 	At       time.Duration
 }
 
@@ -186,7 +187,7 @@
 	}
 	for _, name := range sorted(g.calls) {
 		for _, k := range g.calls[name] {
-			c := CallState{Name: name, Customer: customers.of(k.c), Weight: k.weight, At: k.at}
+			c := CallState{Name: name, Customer: customers.of(k.c), Weight: k.weight, Units: k.units, At: k.at}
 			if k.r != nil {
 				c.Request = requests.of(k.r) + 1
 			}
@@ -324,7 +325,7 @@
 		if !within(k.Customer, len(customers)) || !within(k.Request, len(requests)+1) {
 			return nil, errState
 		}
-		c := call{c: customers[k.Customer], weight: k.Weight, at: k.At}
+		c := call{c: customers[k.Customer], weight: k.Weight, units: k.Units, at: k.At}
 		if k.Request > 0 {
 			c.r = requests[k.Request-1]
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -126,6 +126,7 @@
 	c      *customer
 	r      *request
 	weight float64
+	units  float64 // of other tries that go with it, to be added later if they are not now
 	at     time.Duration
 }
 
