--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,203 @@
+package platform
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"sandyard/choice"
+	"sandyard/config"
+	"sandyard/internal/dialect"
+	"sandyard/internal/http1"
+)
+
+const told = `{"name":"n3","listen":"127.0.0.1:9000","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":0.5,"memory_mb":64,"sockets":256},"counter":"127.0.0.3:6400",
+"known":{"seq":41,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.9:80","site":"hall b","block":3,"health":"leaving","share":1.5,"born_ms":1700000000123}]},
+"settings":{"az":1,"peers-total":4,"me":2,"localities":["hall a","hall b"],"feedback":{"names":["cpu_share","pending"],"via":"piggyback"},
+"limits":{"max-attempts":3,"retry-after":true,"conn-idle-ms":4000.0,"connect-timeout-ms":200.0},
+"services":[{"name":"look up","semantics":"retryable","aim-ms":500.0,"deadline-ms":2000.0,"value":2.0},
+ {"name":"book","semantics":"dedup","aim-ms":500.0,"deadline-ms":2000.0,"key-ttl-ms":3000.0},{"name":"pay","semantics":"fragile","aim-ms":500.0,"deadline-ms":2000.0}],
+"plans":[{"name":"free","refill":1.5,"store-size":4.0},{"name":"team","parallel":2,"refill":null}],
+"specifics":{"shared-counter":true,"count-limit-ms":50.0,"units-top":6}}}`
+
+func node(t *testing.T) *Node {
+	t.Helper()
+	n, err := Read([]byte(told))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func TestConfiguration(t *testing.T) {
+	n := node(t)
+	s, c := n.Config.Settings, n.Config
+	if s.Zone != 1 || s.Gateways != 4 || s.Self != 2 || !s.LoadInAnswers || s.MaxAttempts != 3 || !s.RetryAfter || !s.Counter || s.MostUnits != 6 {
+		t.Errorf("%+v", s)
+	}
+	if len(s.Classes) != 3 || s.Classes[1].Repeat != choice.Keyed || s.Classes[1].KeyTTL != 3*time.Second || s.Classes[0].Worth != 2 {
+		t.Errorf("%+v", s.Classes)
+	}
+	if len(s.Plans) != 2 || s.Plans[0].Rate != 1.5 || s.Plans[1].Open != 2 || s.Plans[1].Rate != 0 {
+		t.Errorf("%+v", s.Plans)
+	}
+	if c.Keeper.Address != "127.0.0.3:6400" || c.Limits.Connections+c.Limits.Lines >= n.Limits.Sockets || c.Limits.BoxIdleTimeout >= 4e9 {
+		t.Errorf("%+v %+v", c.Keeper, c.Limits)
+	}
+	b := n.Known.Boxes[0]
+	if n.Known.Seq != 41 || choice.ServerState(b.State) != choice.Draining || time.Time(b.Started).UnixMilli() != 1700000000123 || b.Cell != 3 {
+		t.Errorf("%+v", n.Known)
+	}
+	if c.Zones[1] != "hall_b" {
+		t.Errorf("%q", c.Zones)
+	}
+}
+
+func TestBadConfigurationsNameThePlace(t *testing.T) {
+	for _, c := range [][3]string{{`"127.0.0.2:8500"`, `"nowhere"`, "discovery"}, {`"8c1f30d27a5be964"`, `"seed"`, "seed"}, {`"leaving"`, `"away"`, "hosts[0].health"},
+		{`"retryable"`, `"often"`, "services.0.semantics"}, {`"max-attempts":3`, `"max-attempts":"x"`, "limits.max-attempts"}, {`"name":"book"`, `"name":"pay"`, "two classes"},
+		{`"memory_mb":64`, `"memory_mb":-1`, "limits"}, {`"seq":41`, `"sea":41`, "seq"}, {`"settings":{`, `"settings":[{`, "configuration"}} {
+		if _, err := Read([]byte(strings.Replace(told, c[0], c[1], 1))); err == nil || !strings.Contains(err.Error(), c[2]) {
+			t.Errorf("%s for %s: %v, want it to name %s", c[1], c[0], err, c[2])
+		}
+	}
+}
+
+func head(t *testing.T, text string) *http1.Head {
+	t.Helper()
+	_, p, err := http1.NewRequests(http1.Limits{}).Feed([]byte(text))
+	if err != nil || p.Kind != http1.HeadEnd {
+		t.Fatalf("%q: %v", text, err)
+	}
+	return p.Head
+}
+
+const look = "GET /api?client=00000000b4d65521 HTTP/1.1\r\nHost: o\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\nX-Class: look_up\r\nX-Tier: team\r\n" +
+	"X-Deadline-Ms: 480\r\nX-Call-Terms: units=2,spread=3,first=1\r\nX-Retry: 1\r\n\r\n"
+
+const book = "POST /api?x=1&client=00000000b4d65521 HTTP/1.1\r\nHost: o\r\nX-Request-Id: 9b1f03aa5c7e2d42\r\nX-Class: book\r\nX-Tier: free\r\n" +
+	"Idempotency-Key: k1\r\nX-Deadline-Ms: 480\r\nContent-Length: 3\r\nX-Call-Terms: units=1,spread=4,first=0\r\n\r\n"
+
+func TestRequests(t *testing.T) {
+	n := node(t)
+	var ask dialect.Ask
+	if own := n.Read(head(t, look), &ask); own != nil {
+		t.Fatal(own)
+	}
+	if ask.Class != 0 || ask.Studio.Plan != 1 || ask.Studio.Name != "00000000b4d65521" || ask.Studio.Spread != 3 || ask.Studio.First != 1 ||
+		ask.Units != 2 || ask.Patience != 480*time.Millisecond || !ask.Retry || ask.Name != "9b1f03aa5c7e2d41" {
+		t.Errorf("%+v %+v", ask, ask.Studio)
+	}
+	h := head(t, book)
+	if own := n.Read(h, &ask); own != nil {
+		t.Fatal(own)
+	}
+	wire, at := n.Request(nil, h, []byte("abc"), nil, "")
+	want := "POST /api?x=1&client=00000000b4d65521 HTTP/1.1\r\nHost: o\r\nX-Request-Id: 9b1f03aa5c7e2d42\r\nIdempotency-Key: k1\r\nContent-Length: 3\r\nX-Deadline-Ms: 250\r\n\r\nabc"
+	if got := string(n.Attempt(wire, at, 250*time.Millisecond)); got != want {
+		t.Errorf("got  %q\nwant %q", got, want)
+	}
+	if p := n.Probe("a:1"); string(n.Attempt(p, 0, time.Second)) != "GET /status/load HTTP/1.1\r\nHost: a:1\r\n\r\n" {
+		t.Errorf("a probe is sent as %q", n.Attempt(p, 0, time.Second))
+	}
+	if own := n.Read(head(t, "GET /ready HTTP/1.1\r\nHost: o\r\n\r\n"), &ask); own == nil || own.Status != 200 {
+		t.Errorf("ready: %+v", own)
+	}
+}
+
+// TestBadRequests: whatever is not as the protocol says gets a 4xx of its own and no decision.
+func TestBadRequests(t *testing.T) {
+	n := node(t)
+	for _, c := range [][3]string{{look, "GET /api", "GET /other"}, {look, "GET ", "POST "}, {look, "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d4"}, {look, "9b1f", "ZZZZ"},
+		{look, "X-Request-Id: 9b1f03aa5c7e2d41\r\n", ""}, {look, "X-Retry: 1", "X-Request-Id: 0000000000000000"}, {look, "look_up", "lookup"}, {look, "team", "none"},
+		{look, "00000000b4d65521", "0000000200000000"}, {look, "00000000b4d65521", "b4d65521"}, {look, "client=", "clien="}, {look, "?client=", "?client=0000000000000001&client="},
+		{look, ": 480", ": 4e2"}, {look, ": 480", ": 0"}, {look, ": 480", ": -1"}, {look, "units=2", "units=7"}, {look, "units=2", "units=-1"}, {look, "units=2", "units=NaN"},
+		{look, "spread=3", "spread=5"}, {look, "spread=3", "spread=0"}, {look, "first=1", "first=4"}, {look, ",first=1", ""}, {look, "first=1", "first=1,first=2"},
+		{look, "X-Retry: 1", "Idempotency-Key: k"}, {look, "X-Retry: 1", "Content-Length: 1"}, {book, "POST", "PUT"}, {book, "Idempotency-Key: k1\r\n", ""}, {book, "POST", "GET"}} {
+		var ask dialect.Ask
+		if own := n.Read(head(t, strings.Replace(c[0], c[1], c[2], 1)), &ask); own == nil || own.Status < 400 || own.Status > 499 {
+			t.Errorf("%q for %q: %+v", c[2], c[1], own)
+		}
+	}
+}
+
+func TestReports(t *testing.T) {
+	n := node(t)
+	for _, c := range []struct {
+		text, body string
+		probe      bool
+		want       choice.Outcome
+		use        float64
+	}{
+		{"200 OK\r\nX-Load: inflight=7,queue=2,util=0.61", "", false, choice.OK, 0.61},
+		{"200 OK", "util=0.5,queue=1\r\n", true, choice.OK, 0.5},
+		{"200 OK\r\nX-Load: util=zero", "", false, choice.OK, math.NaN()},
+		{"503 S\r\nX-Not-Run: 1\r\nX-Load: cpu_share=0.9", "", false, choice.Full, 0.9},
+		{"504 S\r\nX-Not-Run: 1", "", false, choice.Full, -1},
+		{"503 S", "", false, choice.Error, -1}, {"500 S\r\nX-Not-Run: 1", "", false, choice.Error, -1}, {"404 N", "", false, choice.Error, -1},
+	} {
+		rd := http1.NewResponses(http1.Limits{})
+		rd.Expect("GET")
+		_, p, err := rd.Feed([]byte("HTTP/1.1 " + c.text + "\r\nContent-Length: 0\r\n\r\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := n.Report(p.Head, []byte(c.body), c.probe)
+		if r.Outcome != c.want || (r.Load == nil) != (c.use == -1) {
+			t.Errorf("%q: %+v", c.text, r)
+		} else if r.Load != nil && r.Load[0] != c.use && !math.IsNaN(c.use) || math.IsNaN(c.use) && !math.IsNaN(r.Load[0]) {
+			t.Errorf("%q: load %v", c.text, r.Load)
+		}
+	}
+	if s := string(n.RetryAfter(nil, 80500*time.Microsecond)); s != "0.081" {
+		t.Errorf("Retry-After: %s", s)
+	}
+}
+
+// TestCounterLines: replies are read alike however they are split, and what has no number ends the connection.
+func TestCounterLines(t *testing.T) {
+	n := node(t)
+	if b := n.Counter().Call(nil, "a.1", -2.5, 4*time.Second); string(b) != "add a.1 -2.5 4000\r\n" {
+		t.Errorf("%q", b)
+	}
+	text := "ok 12.5\r\nbusy\r\nerror\r\nok 3\r\n"
+	for cut := range len(text) {
+		c, sum, got := n.Counter(), 0.0, 0
+		for _, piece := range []string{text[:cut], text[cut:]} {
+			for b := []byte(piece); len(b) > 0; {
+				k, r, err := c.Feed(b)
+				if err != nil {
+					t.Fatal(cut, err)
+				}
+				if b = b[k:]; r.Got {
+					got++
+				}
+				if r.Added {
+					sum += r.Total
+				}
+			}
+		}
+		if got != 4 || sum != 15.5 {
+			t.Fatalf("cut at %d: %d replies, sum %g", cut, got, sum)
+		}
+	}
+	for _, bad := range []string{"ok\r\n", "ok \r\n", "ok NaN\r\n", "ok 1e999\r\n", "\x00\xff\r\n", strings.Repeat("x", 300)} {
+		if _, _, err := n.Counter().Feed([]byte(bad)); err != dialect.ErrSpoilt {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
+
+func TestLists(t *testing.T) {
+	l, err := ReadList([]byte(`{"seq":43,"whole":false,"hosts":[{"host":"s","health":"left"}]}`))
+	if err != nil || l.Whole || l.Seq != 43 || l.Boxes[0].State != config.State(choice.Gone) {
+		t.Errorf("%+v %v", l, err)
+	}
+	for _, bad := range []string{`{"seq":1,"hosts":[{"host":"","health":"active","dial":"127.0.0.1:1"}]}`, `{"seq":1,"hosts":[{"host":"a","health":"active","dial":"a"}]}`, `{"seq":-1}`, `x`} {
+		if _, err := ReadList([]byte(bad)); err == nil {
+			t.Errorf("%s is taken", bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sockets/node_test.go
@@ -0,0 +1,202 @@
+package sockets
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sandyard/internal/platform"
+)
+
+// lists is discovery: it answers each watch with its first line, and sends what tell is given to the watch that stands.
+type lists struct {
+	addr string
+	tell chan string
+	seen chan string // request lines
+}
+
+func startLists(t *testing.T) *lists {
+	l := &lists{tell: make(chan string), seen: make(chan string, 16)}
+	l.addr = rawBox(t, func(c net.Conn, in *bufio.Reader) {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		l.seen <- req.URL.String()
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+		gone := make(chan struct{})
+		go func() { io.Copy(io.Discard, in); close(gone) }()
+		for {
+			select {
+			case text := <-l.tell:
+				fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+			case <-gone:
+				return
+			}
+		}
+	})
+	return l
+}
+
+// tally is the counter: every call is added up.
+func tally(t *testing.T) (addr string, calls func() int) {
+	var mu sync.Mutex
+	sum, n := map[string]float64{}, 0
+	addr = rawBox(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return
+			}
+			var name string
+			var x, ttl float64
+			fmt.Sscanf(line, "add %s %g %g", &name, &x, &ttl)
+			mu.Lock()
+			sum[name] += x
+			n++
+			fmt.Fprintf(c, "ok %g\r\n", sum[name])
+			mu.Unlock()
+		}
+	})
+	return addr, func() int { mu.Lock(); defer mu.Unlock(); return n }
+}
+
+const nodeConfig = `{"name":"n0","listen":"127.0.0.1:1","discovery":"%s","counter":"%s","seed":"1f","limits":{"cores":1,"sockets":%d},
+"known":{"seq":7,"whole":true,"hosts":[{"host":"a","dial":"%s","health":"active","share":1}]},
+"settings":{"me":0,"peers-total":2,"limits":{"max-attempts":3},"specifics":{"shared-counter":true,"count-limit-ms":500,"units-top":6},
+"services":[{"name":"look","semantics":"retryable","aim-ms":2000,"deadline-ms":5000}],"plans":[{"name":"team","refill":1000,"store-size":1000}]}}`
+
+func startNode(t *testing.T, discovery, counter string, sockets int, box string) *rig {
+	t.Helper()
+	n, err := platform.Read(fmt.Appendf(nil, nodeConfig, discovery, counter, sockets, box))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{T: t, log: &lines{more: make(chan struct{}, 1)}, ended: make(chan error, 1)}
+	r.s, err = Listen(n.Config, "127.0.0.1:0", Options{Seed: n.Seed, Log: slog.New(slog.NewTextHandler(r.log, nil)), Dialect: n, Discovery: n.Discovery, Seq: n.Known.Seq})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.addr = r.s.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.ended <- r.s.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-r.ended; err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	return r
+}
+
+func lookUp(id int) string {
+	return fmt.Sprintf("GET /api?client=0000000000000001 HTTP/1.1\r\nHost: o\r\nX-Request-Id: %016x\r\nX-Class: look\r\nX-Tier: team\r\nX-Deadline-Ms: 4000\r\nX-Call-Terms: units=1,spread=2,first=0\r\n\r\n", id)
+}
+
+// named is a backend that answers with its name and the id of the request.
+func named(t *testing.T, name string) string {
+	return rawBox(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			body := name + " " + req.Header.Get("X-Request-Id")
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+}
+
+func (r *rig) served(id int, by string) {
+	r.Helper()
+	resp := r.talk(lookUp(id), 1)[0]
+	body, _ := io.ReadAll(resp.Body)
+	if want := fmt.Sprintf("%s %016x", by, id); resp.StatusCode != 200 || string(body) != want {
+		r.Errorf("request %d: %d %q, want %q", id, resp.StatusCode, body, want)
+	}
+}
+
+// TestNode: a front door on the platform serves, follows discovery, and goes on at other addresses of discovery and
+// counter from the version that it had.
+func TestNode(t *testing.T) {
+	d, other := startLists(t), startLists(t)
+	count, calls := tally(t)
+	count2, calls2 := tally(t)
+	a, b, c := named(t, "a"), named(t, "b"), named(t, "c")
+	r := startNode(t, d.addr, count, 256, a)
+	if got := <-d.seen; got != "/v1/endpoints?follow=1&since=7" {
+		t.Errorf("the watch asks %s", got)
+	}
+	if s := r.status("GET /ready HTTP/1.1\r\nHost: o\r\n\r\n"); s != 200 {
+		t.Errorf("ready: %d", s)
+	}
+	r.logged("keeper connected")
+	r.served(1, "a")
+	if calls() == 0 {
+		t.Error("the counter is not asked")
+	}
+	d.tell <- fmt.Sprintf(`{"seq":8,"whole":false,"hosts":[{"host":"a","health":"left"},{"host":"b","dial":"%s","health":"active","share":1}]}`+"\n", b)
+	r.logged("seq=8")
+	r.served(2, "b")
+	r.s.Move(other.addr, count2)
+	if got := <-other.seen; got != "/v1/endpoints?follow=1&since=8" {
+		t.Errorf("the watch at the new address asks %s", got)
+	}
+	r.logged("addr=" + count2)
+	other.tell <- fmt.Sprintf(`{"seq":9,"whole":true,"hosts":[{"host":"c","dial":"%s","health":"active","share":1}]}`+"\n", c)
+	r.logged("seq=9")
+	before := calls()
+	for id := 10; id < 10000 && calls2() == 0; id++ { // what is spent is told after a while
+		r.served(id, "c")
+	}
+	if calls() != before || calls2() == 0 {
+		t.Errorf("calls after the move: %d at the old counter, %d at the new", calls()-before, calls2())
+	}
+}
+
+// TestSilentConnectionsMakeRoom: connections that say nothing, as many as there may be, keep no client out.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	count, _ := tally(t)
+	r := startNode(t, startLists(t).addr, count, 64, named(t, "a"))
+	most := r.s.cfg.Limits.Connections
+	for range 2 * most {
+		c, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	r.served(1, "a")
+}
+
+// TestStopTakesWhatStillComes: after the signal to stop, connections that come within limits.stop-delay are served.
+func TestStopTakesWhatStillComes(t *testing.T) {
+	count, _ := tally(t)
+	r := startNode(t, startLists(t).addr, count, 64, named(t, "a"))
+	r.served(1, "a")
+	r.stop()
+	resp := r.talk(lookUp(2), 1)[0]
+	if resp.StatusCode != 200 {
+		t.Errorf("%d", resp.StatusCode)
+	}
+	if err := <-r.ended; err != nil {
+		t.Error(err)
+	}
+	close(r.ended)
+	if c, err := net.DialTimeout("tcp", r.addr, time.Second); err == nil {
+		c.Close()
+		t.Error("still accepting")
+	}
+	if strings.Contains(r.log.text.String(), "left without") {
+		t.Error("it ended with clients unanswered")
+	}
+}
