On the platform an unsafe request goes out on a line of its own

Faulty line: mostUnsafeIdle of internal/platform let unsafe requests onto lines used within 3 s. Change: they get new lines, which take the places of the oldest idle ones, so that none pile up (20 without that in the new test).

--- a/door/bounds_test.go
+++ b/door/bounds_test.go
@@ -124,3 +124,19 @@
 		}
 	}
 }
+
+// TestUnsafeRequestsDoNotPileUpLines: where unsafe requests get lines of their own, those take the places of older ones.
+func TestUnsafeRequestsDoNotPileUpLines(t *testing.T) {
+	r := newRig(t, 1, 1, "")
+	r.shared.Config.Limits.UnsafeIdle, r.shared.Config.Limits.LinesPerBox = 0, 100
+	for range 20 {
+		_, ex := r.ask("POST", "/pay", "ka", "Content-Length: 0\r\n")
+		l, _ := r.up() // a new one each time
+		r.reply(l, ex, ok200)
+		r.final("200")
+		r.pass(20 * time.Millisecond)
+	}
+	if _, _, lines := r.core.Sizes(); lines > 2 {
+		t.Errorf("%d lines for one request at a time", lines)
+	}
+}
--- a/door/core.go
+++ b/door/core.go
@@ -368,12 +368,12 @@
 		c.write(line, ex, n)
 		return
 	}
-	if b.lines >= l.LinesPerBox {
-		if len(b.idle) == 0 {
-			c.lose(ex, n, choice.Void, false)
-			return
-		}
-		c.hang(b.idle[0]) // too long idle for this request
+	if b.lines >= l.LinesPerBox && len(b.idle) == 0 {
+		c.lose(ex, n, choice.Void, false)
+		return
+	}
+	if b.lines >= l.LinesPerBox || len(b.idle) > 1 && longest < time.Duration(l.BoxIdleTimeout) {
+		c.hang(b.idle[0]) // the new line takes the place of the oldest, so that unsafe requests do not pile up idle ones
 	}
 	if c.lines >= l.Lines && !c.spare() {
 		c.lose(ex, n, choice.Void, false)
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -48,17 +48,16 @@
 }
 
 const (
-	mostBody       = 64 << 10               // bytes, as the protocol says
-	fallback       = 4096                   // descriptors where no limit is told
-	clientShare    = 0.5                    // of the descriptors, for clients: they hold a third, others come besides
-	lineShare      = 0.3                    // of the descriptors, for lines to backends; the rest is for all else
-	idleShare      = 0.6                    // of the time after which a backend's machine closes an idle connection
-	mostUnsafeIdle = 3 * time.Second        // a backend that restarts leaves lines that fail; unsafe requests avoid old ones
-	requestTime    = 2 * time.Second        // for a request to come whole; bad senders are owed an end within 3 s
-	answerMargin   = 12 * time.Millisecond  // kept of a client's patience for the way back
-	quiet          = 20 * time.Millisecond  // a backend's line rests between requests, so that what comes behind an answer is seen
-	keeperPending  = 1024                   // calls to the counter on their way
-	stopTime       = 600 * time.Millisecond // more than new connections keep coming after SIGTERM
+	mostBody      = 64 << 10               // bytes, as the protocol says
+	fallback      = 4096                   // descriptors where no limit is told
+	clientShare   = 0.5                    // of the descriptors, for clients: they hold a third, others come besides
+	lineShare     = 0.3                    // of the descriptors, for lines to backends; the rest is for all else
+	idleShare     = 0.6                    // of the time after which a backend's machine closes an idle connection
+	requestTime   = 2 * time.Second        // for a request to come whole; bad senders are owed an end within 3 s
+	answerMargin  = 12 * time.Millisecond  // kept of a client's patience for the way back
+	quiet         = 20 * time.Millisecond  // a backend's line rests between requests, so that what comes behind an answer is seen
+	keeperPending = 1024                   // calls to the counter on their way
+	stopTime      = 600 * time.Millisecond // more than new connections keep coming after SIGTERM
 )
 
 // Read takes a configuration apart.
@@ -241,7 +240,7 @@
 		HeadTimeout: strict.Duration(requestTime), BodyTimeout: strict.Duration(requestTime), FirstTimeout: strict.Duration(requestTime),
 		WriteTimeout: strict.Duration(3 * time.Second), IdleTimeout: strict.Duration(30 * time.Second),
 		ConnectTimeout: strict.Duration(millis("limits.connect-timeout-ms", 250*time.Millisecond)),
-		BoxIdleTimeout: strict.Duration(idle), UnsafeIdle: strict.Duration(min(idle, mostUnsafeIdle)), LineRest: strict.Duration(quiet),
+		BoxIdleTimeout: strict.Duration(idle), UnsafeIdle: 0, LineRest: strict.Duration(quiet),
 		AnswerMargin: strict.Duration(answerMargin), StreamSilence: strict.Duration(30 * time.Second),
 		ShutdownTimeout: strict.Duration(time.Minute), StopDelay: strict.Duration(stopTime)}
 	n.Config = cfg
