A new connection gets time to speak before it has to make room for another

Faulty lines: evict in internal/sockets/server.go took the connection that had been silent for longest, were it only a millisecond, and in a burst that was a usual client's before its first bytes were read. Change: one may be silent for 150 ms, and accepting waits up to 300 ms for room, with what comes meanwhile in the backlog. The new test fails with the silence not asked for.

--- a/internal/sockets/node_test.go
+++ b/internal/sockets/node_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -200,3 +201,24 @@
 		t.Error("it ended with clients unanswered")
 	}
 }
+
+// TestNewConnectionsMaySpeak: one that has just come is not closed for having said nothing yet.
+func TestNewConnectionsMaySpeak(t *testing.T) {
+	count, _ := tally(t)
+	r := startNode(t, startLists(t).addr, count, 64, named(t, "a"))
+	began := time.Now()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for r.s.shared.Clients.Load() == 0 {
+		runtime.Gosched()
+	}
+	if r.s.evict() && time.Since(began) < talkTime {
+		t.Error("closed at once")
+	}
+	for !r.s.evict() { // in the end it makes room
+		runtime.Gosched()
+	}
+}
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -241,7 +241,7 @@
 			return err
 		}
 		wait = 5 * time.Millisecond
-		if n := s.shared.Clients.Add(1); n > int64(s.cfg.Limits.Connections) && !s.evict() {
+		if n := s.shared.Clients.Add(1); n > int64(s.cfg.Limits.Connections) && !s.makeRoom() {
 			if n > int64(s.cfg.Limits.Connections)+mostTurned { // not even for an answer there is room
 				s.shared.Clients.Add(-1)
 				conn.Close()
@@ -275,10 +275,29 @@
 }
 
 const (
-	mostTurned = 16              // connections beyond the limit that get an answer at a time
-	restTime   = 2 * time.Second // that a connection must have been idle to make room for another
+	mostTurned = 16                     // connections beyond the limit that get an answer at a time
+	restTime   = 2 * time.Second        // that a connection must have been idle to make room for another
+	talkTime   = 150 * time.Millisecond // that a new one has to say something before it has to make room
+	roomTime   = 300 * time.Millisecond // that accepting waits for room
+	roomEvery  = 5 * time.Millisecond
 )
 
+// makeRoom waits a while for a connection that can be closed to make room for another, and closes it. Others that come
+// meanwhile wait to be accepted.
+func (s *Server) makeRoom() bool {
+	for range roomTime / roomEvery {
+		if s.evict() || s.shared.Clients.Load() <= int64(s.cfg.Limits.Connections) {
+			return true
+		}
+		select {
+		case <-time.After(roomEvery):
+		case <-s.hard.Done():
+			return false
+		}
+	}
+	return false
+}
+
 // evict closes a connection to make room for another: one that has asked nothing yet, or the one that has been idle for
 // longest.
 func (s *Server) evict() bool {
@@ -291,7 +310,7 @@
 		since, asked, idle := cc.m.Resting()
 		shut := cc.closed
 		cc.mu.Unlock()
-		if shut || !idle || asked && now-since < restTime {
+		if shut || !idle || asked && now-since < restTime || !asked && now-since < talkTime {
 			continue
 		}
 		if !asked {
