Only use above a tenth of a quota waits for a call to the counter

Cause: addUse let all use wait, and with many doors each has little of a customer's use, so that calls to tell it crowded out those that ask. Change: use above a tenth of the quota waits, less is told by chance and scaled up as before. Also: SIGHUP stays caught until the process ends, so that one in its last moment does not kill it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,7 @@
 	awayShare      = 0.1                    // most of an aim that a client is told to stay away
 	mostWait       = 1.0                    // seconds until a customer beyond its quota is asked about again
 	addEvery       = 250 * time.Millisecond // how long use is kept before it is added
+	worthTelling   = 0.1                    // share of a quota from which use waits for a call
 	askLess        = 0.85                   // factor on the chance of a call after a refused answer
 	askSlow        = 0.6                    // and after a slow one or none: the counter works for nobody
 	askMore        = 1.06                   // and after a good one
@@ -455,13 +456,16 @@
 			return false
 		}
 		if c.fresh != 0 {
-			if !g.mayCall(1) { // it is kept, and fades as it would at the counter
+			told := g.mayCall(1)
+			if !told && c.fresh > worthTelling*c.quota.most { // it is kept, and fades as it would there
 				c.fresh *= math.Exp(-(g.now + addEvery - c.addAt).Seconds() / c.quota.fade)
 				c.addAt = g.now + addEvery
 				return false
 			}
-			g.told.add(1, g.now)
-			g.call(c, 0, nil)
+			if g.told.add(one(told), g.now); told {
+				g.call(c, 0, nil)
+			}
+			c.fresh = 0
 		}
 		c.queued = false
 		return true
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -37,8 +37,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	again := make(chan os.Signal, 1)
-	signal.Notify(again, syscall.SIGHUP)
-	defer signal.Stop(again)
+	signal.Notify(again, syscall.SIGHUP) // to the end: one that comes while the front door ends must not kill it
 	server, err := sockets.Listen(n.Config, n.Listen, sockets.Options{Log: log, Seed: n.Seed, Dialect: n, Discovery: n.Discovery, Seq: n.Known.Seq})
 	if err != nil {
 		return err
