A new configuration no longer connects to a counter that the settings rule out

Cause, found by reading the whole change once more: node.go handed Move the counter's address as the file had it, where the start takes it only if the settings allow calls, so that SIGHUP made a connection that nothing uses. Change: the address that is told has one place, Config.Keeper, and the field of Node beside it is gone. Measured: the test of the configuration asks for no counter where none may be called; tests of internal/cli and internal/platform pass.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -56,8 +56,9 @@
 			if m, err := k.read(); err != nil {
 				log.Error("reload: the last configuration stays in force", "error", err)
 			} else {
-				log.Info("reload", "discovery", m.Discovery, "counter", m.Keeper)
-				server.Move(m.Discovery, m.Keeper)
+				counter := m.Config.Keeper.Address // none where the settings allow none
+				log.Info("reload", "discovery", m.Discovery, "counter", counter)
+				server.Move(m.Discovery, counter)
 			}
 		}
 	}()
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -28,7 +28,6 @@
 	Name      string
 	Listen    string // host:port
 	Discovery string // host:port
-	Keeper    string // host:port of the counter; empty: there is none
 	Seed      uint64
 	Limits    Limits
 	Known     List // as this front door had it last; may be old
@@ -75,7 +74,7 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	n := &Node{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Keeper: f.Counter, Limits: f.Limits}
+	n := &Node{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits}
 	for name, addr := range map[string]string{"listen": f.Listen, "discovery": f.Discovery, "counter": f.Counter} {
 		if _, err := netip.ParseAddrPort(addr); err != nil && (addr != "" || name != "counter") {
 			return nil, fmt.Errorf("configuration: %s: %q: expected an IP address and a port", name, addr)
@@ -97,7 +96,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: settings: %w", err)
 	}
-	if err := n.settle(pairs); err != nil {
+	if err := n.settle(pairs, f.Counter); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	return n, nil
@@ -175,8 +174,8 @@
 	return "-"
 }
 
-// settle works out the settings and the bounds.
-func (n *Node) settle(pairs []pair) error {
+// settle works out the settings and the bounds. The counter is called only where the settings allow it.
+func (n *Node) settle(pairs []pair, counter string) error {
 	text, at := make([]string, len(pairs)), make(map[string]string, len(pairs))
 	for i, p := range pairs {
 		text[i], at[p.path] = p.path+"="+p.value, p.value
@@ -217,8 +216,8 @@
 	cfg.Zones = strings.Split(at["localities"], ",")
 	cfg.Door.Number, cfg.Door.Of = set.Self, set.Gateways
 	cfg.RetryAfter.Tell = set.RetryAfter
-	if n.Keeper != "" && set.Counter {
-		cfg.Keeper.Address = n.Keeper
+	if set.Counter {
+		cfg.Keeper.Address = counter
 	}
 	cfg.Keeper.Timeout, cfg.Keeper.Pending = strict.Duration(set.CounterTimeout), keeperPending
 	if cfg.Keeper.Timeout <= 0 {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -50,6 +50,9 @@
 	if n.Known.Seq != 41 || choice.ServerState(b.State) != choice.Draining || time.Time(b.Started).UnixMilli() != 1700000000123 || b.Cell != 3 {
 		t.Errorf("%+v", n.Known)
 	}
+	if n, err := Read([]byte(strings.Replace(told, `"shared-counter":true`, `"shared-counter":false`, 1))); err != nil || n.Config.Keeper.Address != "" {
+		t.Errorf("a counter that may not be called: %v %+v", err, n.Config.Keeper)
+	}
 	if c.Zones[1] != "hall_b" {
 		t.Errorf("%q", c.Zones)
 	}
