One set-up of front doors in the socket tests; pages tell the clock as it is now

Cause: the last look found the set-up of a served front door written twice in the tests, and door's comment and the front door's page telling of clocks from each process's start, which sockets no longer have. Change: rig.serve is the one set-up; both places tell of the time since 1970, and that virtual time has not got it. Measured: go test -race of internal/sockets passes, vet and layout too.

--- a/door/doc.go
+++ b/door/doc.go
@@ -13,7 +13,8 @@
 // On sockets a Client belongs to whoever holds its connection's lock, a BoxConn likewise, and Core to one goroutine.
 // Exchanges pass from Client to Core with Arrive and back with an answer.
 //
-// Times are since any fixed origin that is the same for all parts; the runtimes begin at Start.
+// Times are since any fixed origin that is the same for all parts; virtual time begins at Start,
+// sockets at the time since 1970, since front doors that share a counter must have one time.
 package door
 
 import (
@@ -24,7 +25,7 @@
 	"sandyard/internal/dialect"
 )
 
-// Start is the time at which a front door's own clock begins: well above zero, so that what happened before its
+// Start is the time at which a front door's clock begins in virtual time, and a stand-in's: well above zero, so that what happened before its
 // process started (a box's start, above all) has a time, too.
 const Start = 24 * time.Hour
 
--- a/internal/sockets/node_test.go
+++ b/internal/sockets/node_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"runtime"
@@ -82,20 +80,7 @@
 		t.Fatal(err)
 	}
 	r := &rig{T: t, log: &lines{more: make(chan struct{}, 1)}, ended: make(chan error, 1)}
-	r.s, err = Listen(n.Config, "127.0.0.1:0", Options{Seed: n.Seed, Log: slog.New(slog.NewTextHandler(r.log, nil)), Dialect: n, Discovery: n.Discovery, Seq: n.Known.Seq})
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.addr = r.s.Addr().String()
-	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
-	go func() { r.ended <- r.s.Serve(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-r.ended; err != nil {
-			t.Errorf("serve: %v", err)
-		}
-	})
+	r.serve(n.Config, Options{Seed: n.Seed, Dialect: n, Discovery: n.Discovery, Seq: n.Known.Seq})
 	return r
 }
 
--- a/internal/sockets/server_test.go
+++ b/internal/sockets/server_test.go
@@ -141,21 +141,28 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.s, err = Listen(cfg, "127.0.0.1:0", Options{Seed: 1, Log: slog.New(slog.NewTextHandler(r.log, &slog.HandlerOptions{Level: slog.LevelDebug}))})
-	if err != nil {
-		t.Fatal(err)
+	r.serve(cfg, Options{Seed: 1})
+	return r
+}
+
+// serve runs a front door until the test is over.
+func (r *rig) serve(cfg *config.Config, opt Options) {
+	r.Helper()
+	opt.Log = slog.New(slog.NewTextHandler(r.log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	var err error
+	if r.s, err = Listen(cfg, "127.0.0.1:0", opt); err != nil {
+		r.Fatal(err)
 	}
 	r.addr = r.s.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
 	go func() { r.ended <- r.s.Serve(ctx) }()
-	t.Cleanup(func() {
+	r.Cleanup(func() {
 		cancel()
 		if err, ok := <-r.ended; ok && err != nil {
-			t.Errorf("serve: %v", err)
+			r.Errorf("serve: %v", err)
 		}
 	})
-	return r
 }
 
 func aBox(t *testing.T, c standin.BoxConfig, facts func(standin.Fact)) *Box {
