An attempt is looked at again just before its first byte; who reads a connection ends it

(1) door.Core.LineUp wrote the request of a client that had left, or was answered, wherever the settings let no attempt be withdrawn (ex.state was never looked at), and after a whole list had named its box gone: now write() asks obsolete() just before the first byte, for kept lines too, and Client.Gone marks the exchange so that a leave that waits in the queue is no delay. Test text without it: 'the client left: it is written: true'. (2) shut() closed an idle connection while its reader held a whole request: dropped in silence ('request 2: unexpected EOF'). Now only the reader ends it, after a last look at what lies unread. (3) drain() closed without reading on unless more had been kept: the last answer was taken along ('4035 of 61440 bytes: connection reset by peer'). (4) Bytes or an end on a resting line were told as a broken answer of the next request, and bytes unread before a write were taken for its answer; a request of which the kernel took a part counted as one that may have run. (5) Reading stopped at 64 KiB ahead, so a close was not seen; bytes beyond the bound are dropped and the connection ends after what is kept. (6) Retry-After went out on own 503s where the configuration forbids it.

--- a/door/answers.go
+++ b/door/answers.go
@@ -43,7 +43,7 @@
 // own appends an answer of this program to a request of the given method.
 func (s *Shared) own(b []byte, p *problem, method string, minor int, closing bool, retryAfter time.Duration) []byte {
 	b = http1.AppendStatus(b, p.Status, http1.StatusText(p.Status))
-	if retryAfter > 0 {
+	if retryAfter > 0 && s.Config.RetryAfter.Tell {
 		b = append(b, "Retry-After: "...)
 		b = append(s.Dialect.RetryAfter(b, retryAfter), '\r', '\n')
 	}
--- a/door/boxconn.go
+++ b/door/boxconn.go
@@ -27,7 +27,7 @@
 	Status int
 	Bytes  []byte // for the client
 	Reuse  bool   // Whole, Over: the connection can take another request
-	Close  bool   // Begun: only the end of the client's connection can tell where the body ends
+	Close  bool   // Begun: only the end of the client's connection can tell where the body ends; Whole: Bytes say that it ends
 	dialect.Report
 }
 
@@ -197,7 +197,8 @@
 	default:
 		out = http1.AppendLength(out, int64(len(b.body)))
 	}
-	out = connection(out, ex.Minor, ex.Close || b.set.closes())
+	a.Close = ex.Close || b.set.closes()
+	out = connection(out, ex.Minor, a.Close)
 	out = append(out, '\r', '\n')
 	if chunks {
 		out = http1.AppendLastChunk(http1.AppendChunk(out, b.body), trailers)
--- a/door/client.go
+++ b/door/client.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	mostStash = 64 << 10 // bytes read ahead while an answer is awaited; reading stops there
+	mostStash = 80 << 10 // bytes kept of what comes while an answer is awaited: a request of the largest size
 	mostSkip  = 64 << 10 // bytes of a refused request's body that are read rather than closing on it
 )
 
@@ -49,6 +49,7 @@
 	came    time.Duration // when the bytes that are read did
 	linger  bool
 	last    bool // the answer under way is the connection's last
+	overrun bool // more came than is kept: what is kept is answered, and then the connection ends
 	aborts  bool
 	opened  time.Duration
 	asked   bool // a request has been whole
@@ -61,10 +62,10 @@
 		rd: http1.NewRequests(http1.Limits{Head: int(l.Head), Fields: l.Fields})}
 }
 
-// Closing tells that the connection is to be closed once Out is written. Linger tells that the client may still be
-// sending: what comes should be read and dropped for a while, since closing on unread bytes would reset the
-// connection and could take the answer with it.
-func (c *Client) Closing() (closes, linger bool) { return c.phase == closing, c.linger }
+// Closing tells that the connection is to be closed once Out is written. Linger tells that an answer may still be on its
+// way: what comes should be read and dropped for a while, since closing on unread bytes would reset the connection and
+// could take the answer with it.
+func (c *Client) Closing() (closes, linger bool) { return c.phase == closing, c.linger || c.asked }
 
 // Aborts tells that a connection that closes must be reset, once Out is written, rather than ended.
 func (c *Client) Aborts() bool { return c.aborts }
@@ -78,9 +79,6 @@
 // Resting tells whether nothing of a request has come, since when, and whether there was one before.
 func (c *Client) Resting() (since time.Duration, asked, idle bool) { return c.since, c.asked, c.Idle() }
 
-// Room tells whether more bytes may be read.
-func (c *Client) Room() bool { return c.phase != waiting || len(c.stash) < mostStash }
-
 // Deadline is when Expired should be called if nothing else happens; 0 is never.
 func (c *Client) Deadline() time.Duration {
 	l, d := c.set.Config.Limits, time.Duration(0)
@@ -119,7 +117,10 @@
 		if len(c.stash) == 0 {
 			c.stashed = now
 		}
-		c.stash = append(c.stash, b...)
+		// Beyond the bound bytes are dropped rather than left unread: the end of the connection would not be seen.
+		if c.overrun = c.overrun || len(c.stash)+len(b) > mostStash; !c.overrun {
+			c.stash = append(c.stash, b...)
+		}
 		return nil
 	}
 	if len(c.stash) > 0 {
@@ -137,15 +138,24 @@
 	}
 	b := c.stash
 	c.stash, c.came = nil, c.stashed
-	return c.read(now, b)
+	ex := c.read(now, b)
+	if ex == nil && c.overrun { // what would come next was dropped
+		c.linger = true
+		c.close()
+	}
+	return ex
 }
 
-// Gone ends the connection from the client's side. It returns the exchange that has lost its client, if any.
+// Gone ends the connection from the client's side. It returns the exchange that has lost its client, if any; from here
+// on no attempt of it begins, however late the core is told.
 func (c *Client) Gone() *Exchange {
 	ex := c.ex
 	if c.phase != waiting {
 		ex = nil
 	}
+	if ex != nil {
+		ex.left.Store(true)
+	}
 	c.close()
 	return ex
 }
@@ -164,7 +174,7 @@
 
 // Answered appends an answer of ours or of a box. more tells that the rest follows by Relay; else the exchange is
 // over and the connection goes on, with Resume, or closes.
-// closes tells that only the end of the connection can end it.
+// closes tells that it is the connection's last: it says so, or only the connection's end can end it.
 func (c *Client) Answered(now time.Duration, ex *Exchange, b []byte, more, closes bool) {
 	if c.ex != ex || c.phase != waiting {
 		return
@@ -180,7 +190,8 @@
 func (c *Client) TurnAway(now time.Duration, ex *Exchange) {
 	c.set.release(ex.held)
 	ex.held = 0
-	c.Answered(now, ex, c.set.own(nil, &tooBusy, ex.Method, ex.Minor, ex.Close || c.set.closes(), time.Second), false, false)
+	closes := ex.Close || c.set.closes()
+	c.Answered(now, ex, c.set.own(nil, &tooBusy, ex.Method, ex.Minor, closes, time.Second), false, closes)
 }
 
 // Relay appends more of an answer; end tells that it is over, broken that it must be cut off.
@@ -201,8 +212,8 @@
 func (c *Client) finish(now time.Duration) {
 	ex := c.ex
 	c.ex, c.phase, c.since = nil, idle, now
-	if ex.Close || c.last || c.set.closes() {
-		c.linger = len(c.stash) > 0
+	if ex.Close || c.last || c.overrun && len(c.stash) == 0 {
+		c.linger = true
 		c.close()
 	}
 }
--- a/door/core.go
+++ b/door/core.go
@@ -38,7 +38,7 @@
 	Exchange *Exchange
 	Bytes    []byte
 	Addr     string
-	Closes   bool // Grant: the answer ends with the client's connection
+	Closes   bool // Grant: the answer ends with the client's connection; Final: it says that the connection ends
 }
 
 // box is a back-end server.
@@ -244,7 +244,8 @@
 		if c.open[ex.Name] != nil {
 			ex.state = Done
 			ex.Status = sameName.Status
-			c.wish(Wish{Kind: Final, Exchange: ex, Bytes: c.set.own(nil, &sameName, ex.Method, ex.Minor, ex.Close || c.set.closes(), 0)})
+			closes := ex.Close || c.set.closes()
+			c.wish(Wish{Kind: Final, Exchange: ex, Closes: closes, Bytes: c.set.own(nil, &sameName, ex.Method, ex.Minor, closes, 0)})
 			c.set.release(ex.held)
 			ex.held = 0
 			return
@@ -302,13 +303,10 @@
 	default:
 		c.Stats.RefusedRoom++
 	}
-	if !c.set.Config.RetryAfter.Tell {
-		retry = 0
-	}
 	ex.Status = p.Status
 	c.owed--
-	c.wish(Wish{Kind: Final, Exchange: ex,
-		Bytes: c.set.own(nil, &p, ex.Method, ex.Minor, ex.Close || c.set.closes(), retry)})
+	closes := ex.Close || c.set.closes()
+	c.wish(Wish{Kind: Final, Exchange: ex, Closes: closes, Bytes: c.set.own(nil, &p, ex.Method, ex.Minor, closes, retry)})
 	c.forget(ex)
 }
 
@@ -389,7 +387,14 @@
 	c.timers.push(timer{at: c.now + time.Duration(l.ConnectTimeout), kind: dialTimer, line: line})
 }
 
+// write begins an attempt: its first byte goes out. What may have changed since it was decided on is looked at here, and
+// nowhere else.
 func (c *Core) write(l *Line, ex *Exchange, n int) {
+	if c.obsolete(l, ex, n) {
+		c.park(l)
+		c.lose(ex, n, choice.Void, ex.state != Trying)
+		return
+	}
 	l.state, l.ex, l.n = busy, ex, n
 	ex.attempts[n].wrote = c.now
 	c.wish(Wish{Kind: Write, Line: l, Exchange: ex,
@@ -474,28 +479,34 @@
 	if l.Addr == l.box.addr {
 		l.box.way.add(c.now-l.used, c.now)
 	}
-	ex, n := l.ex, l.n
-	switch {
-	case ex == nil: // its attempt is over
+	if ex := l.ex; ex == nil { // its attempt is over
 		c.park(l)
-	case !l.box.made(l): // another process has taken the box's place, and what was decided on is not there
-		l.ex = nil
-		c.hang(l)
-		c.lose(ex, n, choice.Void, false)
-	case c.keyOver(ex, n):
-		c.park(l)
-		c.lose(ex, n, choice.Void, false)
-	case l.box.entry.State != choice.Up && c.now >= l.box.told+c.set.Config.Settings.DrainGrace/2:
-		// the box went away while we were connecting, and its grace may end before the request is there
-		l.ex = nil
-		c.hang(l)
-		c.lose(ex, n, choice.Void, false)
-	default:
-		c.write(l, ex, n)
+	} else {
+		c.write(l, ex, l.n)
 	}
 	c.settle()
 }
 
+// obsolete tells that an attempt must not begin any more, although it was decided on: making its line took a while.
+func (c *Core) obsolete(l *Line, ex *Exchange, n int) bool {
+	b := l.box
+	switch {
+	case !b.made(l): // another process has taken the box's place, and what was decided on is not there
+		return true
+	case b.entry.State == choice.Gone: // a list that leaves a box out says so, also where it still answers
+		return true
+	case b.entry.State != choice.Up && c.now >= b.told+c.set.Config.Settings.DrainGrace/2:
+		return true // its grace may end before the request is there
+	case ex.isProbe:
+		return false
+	case ex.state != Trying || ex.left.Load(): // answered, or nobody waits for it; not every deployment lets attempts be withdrawn
+		return true
+	case c.now >= ex.attempts[n].until: // there is no time left to tell the box of
+		return true
+	}
+	return c.keyOver(ex, n)
+}
+
 // keyOver tells that an attempt repeats what an earlier one may have run, so late that its key may be forgotten by the
 // time it is there: its line took long to be made.
 func (c *Core) keyOver(ex *Exchange, n int) bool {
@@ -639,7 +650,7 @@
 		ex.Status, settled = a.Status, true
 		c.owed--
 		c.Stats.Served++
-		c.wish(Wish{Kind: Final, Exchange: ex, Bytes: a.Bytes})
+		c.wish(Wish{Kind: Final, Exchange: ex, Bytes: a.Bytes, Closes: a.Close})
 	}
 	c.ended(ex, n, choice.AttemptEnded{Outcome: o, Settled: settled, Load: a.Load, Units: a.Units})
 }
--- a/door/exchange.go
+++ b/door/exchange.go
@@ -1,6 +1,7 @@
 package door
 
 import (
+	"sync/atomic"
 	"time"
 
 	"sandyard/choice"
@@ -87,8 +88,9 @@
 	carrier  *Line // and its line
 	probe    choice.ServerID
 	isProbe  bool
-	head     int // of Wire: where an attempt adds fields; 0: nowhere
-	held     int // bytes reserved in Shared.Memory
+	left     atomic.Bool // its client has gone; set where that is seen, before the core is told
+	head     int         // of Wire: where an attempt adds fields; 0: nowhere
+	held     int         // bytes reserved in Shared.Memory
 }
 
 // attempt is one send of an exchange.
--- a/internal/sockets/client.go
+++ b/internal/sockets/client.go
@@ -25,6 +25,7 @@
 	armed  time.Duration // the read deadline that is set, 0: none
 	closed bool          // the last bytes are out
 	linger bool
+	ending bool // it is to end if nothing of a request has been read; its reader sees to that
 }
 
 func (s *Server) newClient(conn *net.TCPConn) (*clientConn, error) {
@@ -46,7 +47,7 @@
 	defer cc.link.close()
 	for {
 		cc.mu.Lock()
-		for (!cc.m.Room() || cc.link.pending() > mostPending) && !cc.closed && !cc.link.broken() {
+		for cc.link.pending() > mostPending && !cc.closed && !cc.link.broken() {
 			cc.resume.Wait()
 		}
 		cc.arm()
@@ -60,6 +61,8 @@
 		now := cc.s.now()
 		cc.mu.Lock()
 		switch {
+		case isTimeout(err) && !cc.link.broken() && cc.ending && !cc.closed:
+			cc.rest(now)
 		case isTimeout(err) && !cc.link.broken():
 			cc.armed = 0
 			cc.s.expiries.Add(1)
@@ -81,6 +84,22 @@
 	}
 }
 
+// rest ends a connection that was asked to end, if nothing of a request has been read by now. What lies there unread is
+// read first: a request that came before the end is answered. mu is held, by the reader, so that nothing is read and then
+// dropped unseen.
+func (cc *clientConn) rest(now time.Duration) {
+	cc.ending, cc.armed = false, 0
+	cc.link.unarm()
+	if cc.m.Idle() {
+		if b := cc.link.poll(); len(b) > 0 {
+			cc.after(now, cc.m.Feed(now, b))
+			return
+		}
+		cc.m.Drain()
+	}
+	cc.after(now, nil)
+}
+
 // drain reads what a client still sends after its last answer, since closing on it could take the answer along.
 func (cc *clientConn) drain() {
 	cc.mu.Lock()
@@ -109,7 +128,7 @@
 // when it comes; so a busy connection sets none from request to request.
 func (cc *clientConn) arm() {
 	d := cc.m.Deadline()
-	if d != 0 && (cc.armed == 0 || cc.armed > d) {
+	if d != 0 && !cc.ending && (cc.armed == 0 || cc.armed > d) {
 		cc.armed = d
 		cc.link.conn.SetReadDeadline(cc.s.origin().Add(d))
 	}
@@ -199,10 +218,16 @@
 	}
 }
 
-// shut closes the connection when it is idle, or after its answer.
+// shut asks for the connection's end if it is idle. Its reader ends it: what has been read by then is no idle connection.
 func (cc *clientConn) shut() {
 	cc.mu.Lock()
-	cc.m.Drain()
-	cc.after(cc.s.now(), nil)
+	cc.shutLocked()
 	cc.mu.Unlock()
 }
+
+func (cc *clientConn) shutLocked() {
+	if cc.m.Idle() && !cc.closed && !cc.ending {
+		cc.ending = true
+		cc.link.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
--- a/internal/sockets/line.go
+++ b/internal/sockets/line.go
@@ -50,14 +50,17 @@
 
 func (lc *lineConn) run(ctx context.Context) {
 	l, err := dialTCP(ctx, lc.line.Addr, time.Duration(lc.s.cfg.Limits.WriteTimeout))
-	if err != nil {
-		lc.lost(true)
-		return
-	}
 	lc.mu.Lock()
-	if lc.dead {
+	if lc.dead || err != nil {
+		told := lc.dead
+		lc.dead = true
 		lc.mu.Unlock()
-		l.close()
+		if !told {
+			lc.s.post(post{kind: lineDown, line: lc.line, unsent: true})
+		}
+		if err == nil {
+			l.close()
+		}
 		return
 	}
 	lc.link = l
@@ -78,21 +81,24 @@
 		return false
 	}
 	ex := lc.ex
+	if ex == nil { // its end, or bytes that nobody asked for: it is of no use, and nothing of a request was written
+		lc.dead = true
+		lc.mu.Unlock()
+		lc.s.post(post{kind: lineDown, line: lc.line, unsent: true})
+		return false
+	}
 	var a door.Answer
 	switch {
-	case err == io.EOF && ex != nil:
+	case err == nil:
+		a = lc.m.Feed(b)
+	case err == io.EOF:
 		a = lc.m.EOF()
-	case err != nil && ex != nil:
-		a = lc.m.Lost()
-	case err != nil:
-		lc.mu.Unlock()
-		lc.lost(false)
-		return false
 	default:
-		a = lc.m.Feed(b)
+		a = lc.m.Lost()
 	}
 	if a.Kind == door.Whole || a.Kind == door.Over || a.Kind == door.Broken {
 		lc.ex = nil
+		a.Reuse = a.Reuse && l.pending() == 0
 	}
 	if a.Kind == door.Broken {
 		lc.dead = true
@@ -121,39 +127,33 @@
 		ex.Owner.(*clientConn).relay(lc.s.now(), ex, a.Bytes, true, false)
 		lc.s.post(post{kind: answer, line: lc.line, answer: a})
 	case door.Broken:
+		if !l.end() { // the request's last byte never went out: the box can't have begun on it
+			lc.s.post(post{kind: lineDown, line: lc.line, unsent: true})
+			return false
+		}
 		lc.s.post(post{kind: answer, line: lc.line, answer: a})
 		return false
 	}
 	return err == nil
 }
 
-// lost tells the core of the connection's end, once.
-func (lc *lineConn) lost(unsent bool) {
-	lc.mu.Lock()
-	told := lc.dead
-	lc.dead = true
-	unsent = unsent || lc.ex == nil
-	lc.mu.Unlock()
-	if !told {
-		lc.s.post(post{kind: lineDown, line: lc.line, unsent: unsent})
-	}
-}
-
-// write sends a request; it never blocks.
+// write sends a request; it never blocks. A line on which something lies to be read, which would be taken for the answer,
+// or on which not all of the request goes out, is of no use: the box can't have begun.
 func (lc *lineConn) write(ex *door.Exchange, wire []byte) {
 	lc.mu.Lock()
 	if lc.dead { // its end is on its way to the core, as that of a line on which nothing was sent
 		lc.mu.Unlock()
 		return
 	}
-	lc.m.Expect(ex)
-	lc.ex = ex
-	none := lc.link.write(wire)
-	if none {
-		lc.dead = true
+	unsent := !lc.link.quiet()
+	if !unsent {
+		lc.m.Expect(ex)
+		lc.ex = ex
+		unsent = lc.link.write(wire)
 	}
+	lc.dead = unsent
 	lc.mu.Unlock()
-	if none {
+	if unsent {
 		lc.s.post(post{kind: lineDown, line: lc.line, unsent: true})
 		lc.link.close()
 	}
--- a/internal/sockets/link.go
+++ b/internal/sockets/link.go
@@ -33,6 +33,7 @@
 	out      []byte
 	flushing bool
 	failed   bool
+	short    bool // it failed, and not all that it was handed went out
 
 	// of the reading goroutine
 	readFn func(fd uintptr) bool
@@ -119,12 +120,13 @@
 	}
 }
 
-// write hands bytes to the kernel as far as it takes them and keeps the rest. It never blocks. none tells that the
-// connection had failed before a byte of b went out.
-func (l *link) write(b []byte) (none bool) {
+// write hands bytes to the kernel as far as it takes them and keeps the rest. It never blocks. short tells that the
+// connection failed before all of b went out.
+func (l *link) write(b []byte) (short bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.failed {
+		l.short = true
 		return true
 	}
 	if l.flushing {
@@ -135,8 +137,9 @@
 	err := l.raw.Write(l.writeFn)
 	l.src = nil
 	if err != nil || l.werr != nil {
+		l.short = l.wrote < len(b)
 		l.failLocked()
-		return l.wrote == 0
+		return l.short
 	}
 	if l.wrote < len(b) {
 		l.out = append(l.out, b[l.wrote:]...)
@@ -161,7 +164,9 @@
 		}
 		l.room.Broadcast()
 	}
+	l.short = len(l.out) > 0
 	l.out, l.flushing = nil, false
+	l.room.Broadcast()
 	if !l.failed {
 		l.conn.SetWriteDeadline(time.Time{})
 	}
@@ -210,6 +215,39 @@
 	l.mu.Unlock()
 }
 
+// quiet tells that nothing lies there to be read, and that the other side has not ended; what does lie there is lost. It
+// does not wait.
+func (l *link) quiet() bool {
+	quiet := false
+	err := l.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		quiet = err == syscall.EAGAIN || err == syscall.EINTR
+	})
+	return err == nil && quiet
+}
+
+// poll reads what lies there, and does not wait. The bytes are good until the next read.
+func (l *link) poll() []byte {
+	l.done()
+	l.n, l.err = 0, nil
+	if l.raw.Control(func(fd uintptr) { l.tryRead(fd) }) != nil || l.err != nil || l.n == 0 {
+		return nil
+	}
+	return (*l.buf)[:l.n]
+}
+
+// end closes the link and tells whether the kernel took all that it was handed.
+func (l *link) end() (whole bool) {
+	l.close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.flushing {
+		l.room.Wait()
+	}
+	return !l.short
+}
+
 // close ends the link; what was kept is lost.
 func (l *link) close() {
 	l.mu.Lock()
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -476,7 +476,7 @@
 		case door.Hang:
 			w.Line.Owner.(*lineConn).hang()
 		case door.Final:
-			w.Exchange.Owner.(*clientConn).answered(s.now(), w.Exchange, w.Bytes, false, false)
+			w.Exchange.Owner.(*clientConn).answered(s.now(), w.Exchange, w.Bytes, false, w.Closes)
 			s.record(w.Exchange)
 		case door.Grant:
 			w.Exchange.Owner.(*clientConn).answered(s.now(), w.Exchange, w.Bytes, true, w.Closes)
--- a/internal/virtual/door.go
+++ b/internal/virtual/door.go
@@ -120,7 +120,7 @@
 				w.Line.Owner.(*vline).hang()
 			case door.Final:
 				d.s.reach(fmt.Sprintf("answer %d", w.Exchange.Status))
-				w.Exchange.Owner.(*vclient).answered(w.Exchange, w.Bytes, false, false)
+				w.Exchange.Owner.(*vclient).answered(w.Exchange, w.Bytes, false, w.Closes)
 			case door.Grant:
 				w.Exchange.Owner.(*vclient).answered(w.Exchange, w.Bytes, true, w.Closes)
 				w.Line.Owner.(*vline).granted()
@@ -179,14 +179,15 @@
 
 // vclient is a client's connection at its door.
 type vclient struct {
-	d      *vdoor
-	e      *end
-	m      *door.Client
-	out    []byte
-	gone   bool
-	armed  time.Duration
-	stuck  time.Duration // since when nothing of out was taken
-	source *vline        // whose answer flows
+	d       *vdoor
+	e       *end
+	m       *door.Client
+	out     []byte
+	gone    bool
+	armed   time.Duration
+	stuck   time.Duration // since when nothing of out was taken
+	source  *vline        // whose answer flows
+	lingers bool          // all is written; what still comes is read and dropped
 }
 
 func (d *vdoor) accept(e *end) {
@@ -222,7 +223,7 @@
 }
 
 func (c *vclient) readable(*end) {
-	for !c.gone && len(c.e.inbox) > 0 && c.m.Room() && len(c.out) <= mostPending {
+	for !c.gone && len(c.e.inbox) > 0 && len(c.out) <= mostPending {
 		if closes, _ := c.m.Closing(); closes {
 			c.e.read() // what comes after the last answer is dropped
 			return
@@ -296,8 +297,12 @@
 			c.source.readable(nil)
 		}
 		if closes, linger := c.m.Closing(); closes {
-			if linger { // what still comes is read and dropped for a while
-				c.d.s.after(time.Second, c.d.guard(func() { c.end(false) }))
+			if linger && !c.m.Aborts() { // what still comes is read and dropped for a while
+				if !c.lingers {
+					c.lingers = true
+					c.e.finish()
+					c.d.s.after(time.Second, c.d.guard(func() { c.end(false) }))
+				}
 				c.e.read()
 			} else {
 				c.end(c.m.Aborts())
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -325,6 +325,13 @@
 	return b
 }
 
+// finish ends the sending: the peer hears of it after all that was written, and what it still sends is read.
+func (e *end) finish() {
+	if !e.shut && e.host.alive {
+		e.send(segment{fin: true})
+	}
+}
+
 // close ends this side: the peer hears of it after all that was written. With unread bytes, or asked for, it is a reset.
 func (e *end) close(reset bool) {
 	if e.shut {
