--- a/door/answers.go
+++ b/door/answers.go
@@ -21,6 +21,7 @@
 	failedHere   = says(502, "failed", "Failed", "A box was tried; whether it acted is not known.", false)
 	failedLate   = says(504, "late", "No answer in time", "A box was tried; whether it acted is not known.", false)
 	shuttingDown = says(503, "shutting-down", "Shutting down", "This front door takes no more requests.", true)
+	notReady     = says(503, "starting", "Starting", "This front door has no list of boxes yet.", true)
 	outOfMemory  = says(503, "no-memory", "No room", "This front door holds as many bodies as it may.", true)
 	tooMany      = says(503, "connections", "Too many connections", "This front door has as many as it may.", true)
 	tooBusy      = says(503, "queue", "Too busy", "This front door has more to decide than it may queue.", true)
--- a/door/client.go
+++ b/door/client.go
@@ -284,9 +284,8 @@
 	c.Own = append(c.Own, p.Status)
 	c.drop()
 	c.ex, c.refusal = nil, nil
-	c.phase, c.since = idle, now
+	c.phase, c.since, c.linger = idle, now, true
 	if closes {
-		c.linger = true
 		c.close()
 	}
 }
@@ -387,5 +386,8 @@
 		c.ex.Close = true
 		return &shuttingDown
 	}
+	if c.set.starting.Load() {
+		return &notReady
+	}
 	return c.set.Dialect.Read(h, &c.ex.Ask)
 }
--- a/door/doc.go
+++ b/door/doc.go
@@ -35,10 +35,17 @@
 	Dialect  dialect.Dialect
 	Memory   atomic.Int64 // bytes of bodies held
 	Clients  atomic.Int64 // connections
+	starting atomic.Bool
 	leaving  atomic.Bool
 	draining atomic.Bool
 }
 
+// BeginStart says that the front door has no list yet that it may go by: requests are refused, and it is not ready.
+func (s *Shared) BeginStart() { s.starting.Store(true) }
+
+// Begin ends that.
+func (s *Shared) Begin() { s.starting.Store(false) }
+
 // BeginLeave begins the end: answers close their connections, but requests are still taken.
 func (s *Shared) BeginLeave() { s.leaving.Store(true) }
 
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -23,6 +23,10 @@
 
 // Run runs one front door on the platform, until SIGTERM. SIGHUP reads the configuration anew.
 func (k node) Run(c *Console) error {
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP) // to the end: one that comes while the front door ends must not kill it
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	n, err := k.read()
 	if err != nil {
 		return err
@@ -34,10 +38,6 @@
 		debug.SetMemoryLimit(int64(heapShare * float64(n.Limits.MemoryMB<<20)))
 	}
 	log := slog.New(slog.NewTextHandler(c.Errs, nil))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	again := make(chan os.Signal, 1)
-	signal.Notify(again, syscall.SIGHUP) // to the end: one that comes while the front door ends must not kill it
 	server, err := sockets.Listen(n.Config, n.Listen, sockets.Options{Log: log, Seed: n.Seed, Dialect: n, Discovery: n.Discovery, Seq: n.Known.Seq})
 	if err != nil {
 		return err
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -91,6 +91,9 @@
 		if n.Known, err = ReadList(f.Known); err != nil {
 			return nil, fmt.Errorf("configuration: known: %w", err)
 		}
+		if len(n.Known.Wrong) > 0 {
+			return nil, fmt.Errorf("configuration: known: %w", n.Known.Wrong[0].Err)
+		}
 	}
 	pairs, err := flatten(f.Settings)
 	if err != nil {
--- a/internal/platform/speak.go
+++ b/internal/platform/speak.go
@@ -86,11 +86,11 @@
 	if len(id) != 16 || !isHex(id) {
 		return &badID
 	}
-	op := n.classes[class]
+	op := n.classes[tidy.Replace(class)] // settings have names in that form, whatever form others have them in
 	if op == nil {
 		return &badClass
 	}
-	plan, ok := n.plans[tier]
+	plan, ok := n.plans[tidy.Replace(tier)]
 	if !ok {
 		return &badPlan
 	}
--- a/internal/sockets/list.go
+++ b/internal/sockets/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"path/filepath"
 	"slices"
+	"time"
 
 	"github.com/fsnotify/fsnotify"
 )
@@ -13,7 +14,11 @@
 func (s *Server) watchList() (func(context.Context) error, error) {
 	if s.disco != nil {
 		s.post(post{kind: list, boxes: slices.Clone(s.cfg.Boxes)})
-		return s.disco.watch, nil
+		return func(ctx context.Context) error {
+			late := time.AfterFunc(firstList, func() { s.post(post{kind: begin}) })
+			defer late.Stop()
+			return s.disco.watch(ctx)
+		}, nil
 	}
 	w, err := fsnotify.NewWatcher()
 	if err != nil {
--- a/internal/sockets/node_test.go
+++ b/internal/sockets/node_test.go
@@ -73,6 +73,8 @@
 "settings":{"me":0,"peers-total":2,"limits":{"max-attempts":3},"specifics":{"shared-counter":true,"count-limit-ms":500,"units-top":6},
 "services":[{"name":"look","semantics":"retryable","aim-ms":2000,"deadline-ms":5000}],"plans":[{"name":"team","refill":1000,"store-size":1000}]}}`
 
+const isReady = "GET /ready HTTP/1.1\r\nHost: o\r\nConnection: close\r\n\r\n"
+
 func startNode(t *testing.T, discovery, counter string, sockets int, box string) *rig {
 	t.Helper()
 	n, err := platform.Read(fmt.Appendf(nil, nodeConfig, discovery, counter, sockets, box))
@@ -81,6 +83,9 @@
 	}
 	r := &rig{T: t, log: &lines{more: make(chan struct{}, 1)}, ended: make(chan error, 1)}
 	r.serve(n.Config, Options{Seed: n.Seed, Dialect: n, Discovery: n.Discovery, Seq: n.Known.Seq})
+	for r.status(isReady) != 200 {
+		runtime.Gosched()
+	}
 	return r
 }
 
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -67,6 +67,7 @@
 	listFailed
 	changes
 	counter
+	begin // the list that is held may be gone by
 	inquiry
 )
 
@@ -109,6 +110,7 @@
 	s.began = time.Duration(s.start.UnixNano())
 	if opt.Discovery != "" {
 		s.disco = newDiscovery(s, opt.Discovery, opt.Seq)
+		s.shared.BeginStart()
 	}
 	s.debug = s.log.Enabled(context.Background(), slog.LevelDebug)
 	core, err := door.NewCore(s.shared, opt.Seed, s.began)
@@ -456,6 +458,8 @@
 		c.Changes(now, p.boxes, s.origin())
 	case counter:
 		c.Count(now, string(p.bytes))
+	case begin:
+		s.shared.Begin()
 	case listFailed:
 		c.ListFailed(now)
 	case inquiry:
--- a/internal/sockets/server_test.go
+++ b/internal/sockets/server_test.go
@@ -69,6 +69,13 @@
 	return len(b), nil
 }
 
+// String is what has been logged.
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 func (r *rig) logged(what string) {
 	r.Helper()
 	limit := time.After(10 * time.Second)
