Accepting ends with a last look; few descriptors and signals in a row are tried

Change: accept() looks once more for connections that came in before its deadline passed, since a deadline that has passed ends the waiting without a look (test without it: 'TestAcceptedLast: i/o timeout'); tests that a client which goes while its line is made has nothing sent for it (without the look before the first byte: 'sent for a client that had gone:'), that discovery and counter moved nine times in a row end at the last address, that a process with 64 descriptors, idle clients on all of them and a silent discovery serves, reads its configuration at SIGHUP and reaches the new addresses, and that SIGHUP and SIGTERM in a row end in order.

--- /dev/null
+++ b/internal/cli/node_test.go
@@ -0,0 +1,250 @@
+package cli
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test's program play a front door as a process of its own, with few descriptors.
+func TestMain(m *testing.M) {
+	if os.Getenv("TEST_AS_NODE") != "" {
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: nodeSockets, Max: nodeSockets}); err != nil {
+			panic(err)
+		}
+		os.Exit(Gateway([]string{"node"}, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+const nodeSockets = 64
+
+const nodeText = `{"name":"n0","listen":"%s","discovery":"%s","counter":"%s","seed":"1f","limits":{"cores":1,"memory_mb":64,"sockets":%d},
+"known":{"seq":7,"whole":true,"hosts":[{"host":"a","dial":"%s","health":"active","share":1}]},
+"settings":{"me":0,"peers-total":2,"limits":{"max-attempts":3,"retry-after":%v},"specifics":{"shared-counter":true,"count-limit-ms":500,"units-top":6},
+"services":[{"name":"look","semantics":"retryable","aim-ms":2000,"deadline-ms":5000}],"plans":[{"name":"team","refill":1000,"store-size":1000}]}}`
+
+const nodeRequest = "GET /api?client=0000000000000001 HTTP/1.1\r\nHost: o\r\nX-Request-Id: %016x\r\nX-Class: look\r\nX-Tier: team\r\n" +
+	"X-Deadline-Ms: 4000\r\nX-Call-Terms: units=1,spread=2,first=0\r\n\r\n"
+
+// peer accepts connections and handles each until it returns.
+func peer(t *testing.T, handle func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() { // ends with the listener
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { // ends with the connection
+				defer c.Close()
+				handle(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// nodeProcess is a front door as a process.
+type nodeProcess struct {
+	t      *testing.T
+	cmd    *exec.Cmd
+	log    *bufio.Scanner
+	file   string
+	listen string
+	ended  chan error
+}
+
+func startProcess(t *testing.T, text func(listen string) string) *nodeProcess {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free now
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &nodeProcess{t: t, listen: ln.Addr().String(), file: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1)}
+	ln.Close()
+	p.configure(text(p.listen))
+	p.cmd = exec.Command(os.Args[0])
+	p.cmd.Env = []string{"TEST_AS_NODE=1", "NODE_CONFIG=" + p.file}
+	errs, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stderr = w
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	errs.SetReadDeadline(time.Now().Add(time.Minute))
+	p.log = bufio.NewScanner(errs)
+	t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		errs.Close()
+	})
+	go func() { p.ended <- p.cmd.Wait() }()
+	return p
+}
+
+func (p *nodeProcess) configure(text string) {
+	p.t.Helper()
+	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// logs reads the log up to a line that has all of what.
+func (p *nodeProcess) logs(what ...string) {
+	p.t.Helper()
+next:
+	for p.log.Scan() {
+		for _, w := range what {
+			if !strings.Contains(p.log.Text(), w) {
+				continue next
+			}
+		}
+		return
+	}
+	p.t.Fatalf("not logged: %v (%v)", what, p.log.Err())
+}
+
+// ask sends a request on a new connection that stays open, and returns the status.
+func (p *nodeProcess) ask(request string) (int, net.Conn) {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.listen)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, request)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, c
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, c
+}
+
+func good(c net.Conn, in *bufio.Reader) {
+	for {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+	}
+}
+
+func silent(_ net.Conn, in *bufio.Reader) { io.Copy(io.Discard, in) }
+
+func adds(c net.Conn, in *bufio.Reader) {
+	for {
+		if _, err := in.ReadString('\n'); err != nil {
+			return
+		}
+		io.WriteString(c, "ok 1\r\n")
+	}
+}
+
+// TestProcessWithFewDescriptors: idle clients take all connections that there may be while discovery is silent; requests are
+// still served, the configuration is read at SIGHUP, and the new discovery and counter are reached.
+func TestProcessWithFewDescriptors(t *testing.T) {
+	box, other := peer(t, good), peer(t, good)
+	text := func(disco, counter, box string) func(string) string {
+		return func(listen string) string {
+			return fmt.Sprintf(nodeText, listen, disco, counter, nodeSockets, box, false)
+		}
+	}
+	p := startProcess(t, text(peer(t, silent), peer(t, adds), box))
+	p.logs("msg=listening")
+	for s := 0; s != 200; { // with the list that it was started with
+		var c net.Conn
+		s, c = p.ask("GET /ready HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
+		c.Close()
+	}
+	for range 3 * nodeSockets { // more than may be held
+		c, err := net.Dial("tcp", p.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	for id := range 10 {
+		for try := 0; ; try++ { // in a crowd a new connection may be turned away
+			s, _ := p.ask(fmt.Sprintf(nodeRequest, 100*id+try))
+			if s == 200 {
+				break
+			}
+			if s != 503 && s != 0 || try == 50 {
+				t.Fatalf("request %d: %d", id, s)
+			}
+		}
+	}
+	lists := peer(t, func(c net.Conn, in *bufio.Reader) {
+		http.ReadRequest(in)
+		body := fmt.Sprintf(`{"seq":9,"whole":true,"hosts":[{"host":"b","dial":"%s","health":"active","share":1}]}`, other)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body)
+		silent(c, in)
+	})
+	counter := peer(t, adds)
+	p.configure(text(lists, counter, box)(p.listen))
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.logs("msg=reload", lists)
+	p.logs("list of boxes", "seq=9")
+}
+
+// TestSignals: SIGHUP with a broken file leaves all as it was; SIGHUP twice at once, SIGTERM right behind one, and SIGTERM twice
+// end in order; a broken file at the start is one line with the field, and status 1.
+func TestSignals(t *testing.T) {
+	disco := peer(t, func(c net.Conn, in *bufio.Reader) {
+		http.ReadRequest(in)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+		silent(c, in)
+	})
+	counter, box := peer(t, adds), peer(t, good)
+	text := func(listen string) string {
+		return fmt.Sprintf(nodeText, listen, disco, counter, nodeSockets, box, false)
+	}
+	p := startProcess(t, text)
+	p.logs("msg=listening")
+	p.configure("{")
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.logs("the last configuration stays")
+	p.configure(text(p.listen))
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.logs("msg=reload")
+	if s, _ := p.ask(fmt.Sprintf(nodeRequest, 1)); s != 200 {
+		t.Errorf("served: %d", s)
+	}
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.logs("msg=stopped")
+	if err := <-p.ended; err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+
+	bad := strings.Replace(text("127.0.0.1:1"), `"active"`, `"up"`, 1)
+	file := filepath.Join(t.TempDir(), "bad.json")
+	os.WriteFile(file, []byte(bad), 0o600)
+	var out, errs bytes.Buffer
+	if code := Gateway([]string{"node", "--config", file}, &out, &errs); code != 1 || strings.Count(errs.String(), "\n") != 1 || !strings.Contains(errs.String(), "known: hosts[0].health") {
+		t.Errorf("%d %q", code, errs.String())
+	}
+}
--- a/internal/sockets/crossing_test.go
+++ b/internal/sockets/crossing_test.go
@@ -221,3 +221,102 @@
 		t.Errorf("%d of %d bytes: %v", len(got), len(body), err)
 	}
 }
+
+// TestAcceptedLast: a connection that came in before accepting ends, and was not accepted by then, gets its answer.
+func TestAcceptedLast(t *testing.T) {
+	count, _ := tally(t)
+	r := startNode(t, startLists(t).addr, count, 64, named(t, "a"))
+	r.served(1, "a")
+	r.s.mu.Lock() // accepting waits here, once the first of these is in
+	first, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	r.clientOf(first)
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, lookUp(2))
+	r.s.ln.SetDeadline(time.Unix(1, 0)) // as at the end of limits.stop-delay
+	r.s.mu.Unlock()
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, _ := io.ReadAll(resp.Body); resp.StatusCode != 200 {
+		t.Errorf("%d %s", resp.StatusCode, body)
+	}
+}
+
+// TestLeavingClientsAreNotServed: a client that goes while the line for its request is being made has nothing sent for it, also
+// where attempts can't be withdrawn, as on this platform.
+func TestLeavingClientsAreNotServed(t *testing.T) {
+	asked := make(chan string, 16)
+	box := rawBox(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			asked <- req.Header.Get("X-Request-Id")
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	count, _ := tally(t)
+	r := startNode(t, startLists(t).addr, count, 64, box)
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cc := r.clientOf(c)
+	hold, held := make(chan struct{}), make(chan struct{})
+	r.s.post(post{kind: inquiry, look: func(*door.Core, time.Duration) { close(held); <-hold }}) // what comes now waits in the queue
+	<-held
+	io.WriteString(c, strings.Replace(lookUp(7), "spread=2", "spread=1", 1)) // no counter is asked
+	for waiting := false; !waiting; runtime.Gosched() {
+		cc.mu.Lock()
+		waiting = cc.m.Waiting()
+		cc.mu.Unlock()
+	}
+	c.Close()
+	for gone := false; !gone; runtime.Gosched() {
+		cc.mu.Lock()
+		gone = cc.closed
+		cc.mu.Unlock()
+	}
+	close(hold)
+	r.status(strings.Replace(lookUp(8), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
+	close(asked)
+	for id := range asked {
+		if id != "0000000000000008" {
+			t.Errorf("sent for a client that had gone: %s", id)
+		}
+	}
+}
+
+// TestMovesInARow: discovery and counter that move several times at once end up at the last address.
+func TestMovesInARow(t *testing.T) {
+	d, last := startLists(t), startLists(t)
+	count, _ := tally(t)
+	count2, calls := tally(t)
+	a := named(t, "a")
+	r := startNode(t, d.addr, count, 64, a)
+	r.served(1, "a")
+	dead := agent(t, func(int, net.Conn, string) {})
+	for range 3 {
+		r.s.Move(dead, "127.0.0.1:1")
+		r.s.Move(d.addr, count)
+		r.s.Move(last.addr, count2)
+	}
+	for got := ""; !strings.HasPrefix(got, "/v1/endpoints?follow=1&since=7"); {
+		got = <-last.seen
+	}
+	r.logged("addr=" + count2)
+	for id := 2; calls() == 0; id++ {
+		r.served(id, "a")
+	}
+}
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -218,7 +218,7 @@
 // accept takes connections. Where the machine has no descriptors left it waits for some: clients wait in the
 // backlog, and those that are in go on.
 func (s *Server) accept() error {
-	wait := 5 * time.Millisecond
+	wait, last := 5*time.Millisecond, false
 	for {
 		s.mu.Lock()
 		for len(s.queue) >= s.cfg.Limits.Queue/2 && !s.gone && s.hard.Err() == nil {
@@ -237,6 +237,11 @@
 				wait = min(2*wait, time.Second)
 				continue
 			}
+			if isTimeout(err) && !last { // a deadline that has passed ends the waiting without a look at who has come
+				last = true
+				s.ln.SetDeadline(time.Now().Add(lastLook))
+				continue
+			}
 			if isTimeout(err) {
 				return nil
 			}
@@ -282,6 +287,7 @@
 	talkTime   = 150 * time.Millisecond // that a new one has to say something before it has to make room
 	roomTime   = 300 * time.Millisecond // that accepting waits for room
 	roomEvery  = 5 * time.Millisecond
+	lastLook   = 50 * time.Millisecond // for connections that came in before accepting ends
 )
 
 // makeRoom waits a while for a connection that can be closed to make room for another, and closes it. Others that come
