Cold servers get their share however thin the traffic is spread over front doors

Ruled out: the loops and the counter (plans without limit, loops open until the warm servers fill up). Lines at fault: bears() threw a coin once in the stated time whether one attempt may go, and forgot it at the window's end, but a gateway with 4 requests a second picks one of 150 servers once in half a minute: both had to fall together. Change: chance decides at the pick, by the time since the last pick of that server, up to what passes between two; choose() asks the allowance only of the server it would take.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,6 +4,7 @@
 package choice
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -102,7 +103,7 @@
 	g.sensor = sensor{sampled: now, line: few, use: few, bad: few, took: many, place: many}
 	g.sensor.took.value, g.sensor.took.weight = firstShare, 1
 	g.sensor.place.value, g.sensor.place.weight = 1, 1
-	g.told, g.borne, g.able = many, few, few
+	g.told, g.borne, g.able, g.picked, g.tried = many, few, few, few, few
 	g.told.add(1, now)
 	// until more is known, all gateways together send a server one after the other
 	g.pace = 1 / (max(tick, set.Classes[0].Aim).Seconds() * firstShare * float64(set.Gateways))
@@ -583,7 +584,7 @@
 		}
 		if n.Started > s.Started && n.Started > 0 && n.Started+g.set.ColdTime > g.now {
 			s.cold, s.coldAt = true, n.Started
-			s.room, s.roomAt, s.need, s.needAt = 0, g.now, g.rng.Float64(), g.now
+			s.room, s.roomAt, s.need = 0, 0, g.rng.Float64()
 			clear(s.health)
 		}
 		s.ServerEntry = n
@@ -648,8 +649,11 @@
 // bears tells whether a cold server can bear one more attempt. All gateways together send it at most a share
 // of what pushes it over, in terms of the pace that servers are known to bear; less where that is so few
 // attempts that their number and work, up to chance, may come to several times what is meant. This one's part
-// is a bucket that fills at that rate. Where it never holds one attempt, chance decides once in the stated
-// time whether and when one may go, and nothing is saved up, so that many gateways do not come at once.
+// is a bucket that fills at that rate. Where it never holds one attempt, chance decides each time that the
+// server is picked, by the time since it was last picked: what the part brings in that time. So as many go as
+// it allows, however seldom this gateway meets the server. That time counts up to what passes between
+// two attempts that meet it, and the first time as what passes between two picks, so that many gateways do not
+// come at once with what they saved up.
 func (g *Gateway) bears(s *server) bool {
 	if !s.cold || g.set.OverloadFactor <= 0 || g.set.OverloadTime <= 0 {
 		return true
@@ -659,13 +663,19 @@
 	few := math.Sqrt(luck*luck+4*all) - luck // twice the root of what leaves room for luck
 	rate := limit * min(bearable, few*few/4/max(all, 1e-9))
 	most := rate * atOnce * g.set.OverloadTime.Seconds()
-	if past := g.now - s.needAt; past >= g.set.OverloadTime {
-		s.need, s.needAt = g.rng.Float64(), g.now-past%g.set.OverloadTime
-		if most < 1 {
-			s.room, s.roomAt = 0, s.needAt
+	past := (g.now - s.roomAt).Seconds()
+	if most >= 1 {
+		s.room = min(most, s.room+rate*past*one(s.roomAt > 0))
+	} else {
+		between := g.allWarmth() / g.warmth(s)
+		if s.roomAt == 0 {
+			past = between / max(g.picked.value, g.picks/period.Seconds())
+		} else {
+			past = min(past, between/max(g.tried.value, g.tries/period.Seconds()))
 		}
+		s.room, s.need = one(g.rng.Float64() < rate*past), 1
 	}
-	s.room, s.roomAt = min(max(1, most), s.room+rate*(g.now-s.roomAt).Seconds()), g.now
+	s.roomAt = g.now
 	if s.room < s.need {
 		g.short = g.now + healthMemory
 		return false
@@ -685,6 +695,8 @@
 		}
 		sum += g.warmth(s) * min(1, works*(1-max(0, fails-healthPrior)/n))
 	}
+	g.picked.add(g.picks/t, g.now)
+	g.tried.add(g.tries/t, g.now)
 	g.borne.add(g.good/t, g.now)
 	g.able.add(sum, g.now)
 	switch {
@@ -693,7 +705,15 @@
 	case g.able.value > 0:
 		g.pace = g.borne.value / g.able.value
 	}
-	g.good, g.ends = 0, 0
+	g.good, g.ends, g.picks, g.tries = 0, 0, 0, 0
+}
+
+// allWarmth is that of all servers together.
+func (g *Gateway) allWarmth() (sum float64) {
+	for _, s := range g.list {
+		sum += g.warmth(s)
+	}
+	return sum
 }
 
 // choose picks a server for the next attempt of r, or nil: of a few drawn at random, the one with the least
@@ -701,31 +721,48 @@
 // share however many they are, and an empty line attracts nobody who has not drawn it.
 func (g *Gateway) choose(r *request) *server {
 	class := g.set.Classes[r.class]
-	var best, spare *server
-	least := math.Inf(1)
+	g.tries++
+	var spare *server
+	drawn := make([]draw, 0, choices+moreChoices)
 	most := choices + int(g.failing[r.class].value*moreChoices)
-	for drawn, tries := 0, 0; drawn < most && tries < mostDraws && len(g.list) > 0; tries++ {
+	for tries := 0; tries < mostDraws && len(g.list) > 0; tries++ {
 		s := g.list[g.rng.IntN(len(g.list))]
-		if g.rng.Float64() >= g.warmth(s) || !inScope(r, class, s) || !g.bears(s) {
+		if g.rng.Float64() >= g.warmth(s) || !inScope(r, class, s) {
 			continue
 		}
 		if r.triedAt(s) {
 			spare = s
 			continue
 		}
-		drawn++
 		cost := g.expect(s)
 		if s.Zone != g.set.Zone {
 			cost *= otherZone
 		}
-		if cost += g.risk(s, r.class) * riskCost; cost < least {
-			best, least = s, cost
+		if drawn = append(drawn, draw{s, cost + g.risk(s, r.class)*riskCost}); len(drawn) == most {
+			if s := g.pick(drawn); s != nil {
+				return s
+			}
+			drawn = drawn[:0]
 		}
 	}
-	if best == nil {
-		best = spare
+	if s := g.pick(drawn); s != nil {
+		return s
+	}
+	if spare != nil && !g.bears(spare) {
+		spare = nil
+	}
+	return spare
+}
+
+// pick takes the best of those drawn that bears one more attempt.
+func (g *Gateway) pick(drawn []draw) *server {
+	slices.SortStableFunc(drawn, func(a, b draw) int { return cmp.Compare(a.cost, b.cost) })
+	for _, d := range drawn {
+		if g.picks++; g.bears(d.s) {
+			return d.s
+		}
 	}
-	return best
+	return nil
 }
 
 // inScope tells whether a server discards repeats of what r may have run already.
@@ -836,7 +873,7 @@
 	s.open++
 	if s.cold {
 		s.room--
-		s.need, s.needAt = g.rng.Float64(), g.now
+		s.need = g.rng.Float64()
 	}
 	g.do(Send{Request: r.id, Server: s.Server, Timeout: g.timeout(r, left)})
 	return true
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -19,6 +19,8 @@
 	Told, Borne, Able AverageState
 	Pace              float64
 	Good, Ends        float64
+	Picks, Tries      float64
+	Picked, Tried     AverageState
 	Short             time.Duration
 	Latency           [][2]float64
 	Asking            float64
@@ -72,7 +74,6 @@
 	Room     float64
 	Need     float64
 	RoomAt   time.Duration
-	NeedAt   time.Duration
 }
 
 // RequestState is a request.
@@ -149,7 +150,7 @@
 	random, err := g.random.MarshalBinary()
 	m := &g.sensor
 	s := State{Random: random, Now: g.now, Sampled: m.sampled, Asking: g.asking, Crowded: g.crowded, Open: g.open,
-		Turn: g.turn, Swept: g.swept, Subscribe: g.subscribe, Told: g.told.state(), Borne: g.borne.state(), Able: g.able.state(), Pace: g.pace,
+		Turn: g.turn, Swept: g.swept, Subscribe: g.subscribe, Told: g.told.state(), Borne: g.borne.state(), Able: g.able.state(), Picked: g.picked.state(), Picks: g.picks, Tried: g.tried.state(), Tries: g.tries, Pace: g.pace,
 		Good: g.good, Ends: g.ends, Short: g.short,
 		Sensor: [5]AverageState{m.line.state(), m.use.state(), m.took.state(), m.place.state(), m.bad.state()}}
 	for _, l := range g.loops {
@@ -210,7 +211,7 @@
 	}
 	for _, v := range servers.all {
 		q := ServerData{Entry: v.ServerEntry, Open: v.open, Due: v.due, Slowness: v.slowness, Cold: v.cold, ColdAt: v.coldAt,
-			Room: v.room, Need: v.need, RoomAt: v.roomAt, NeedAt: v.needAt}
+			Room: v.room, Need: v.need, RoomAt: v.roomAt}
 		for _, h := range v.health {
 			q.Fails, q.N, q.HealthAt = append(q.Fails, h.fails), append(q.N, h.n), append(q.HealthAt, h.at)
 		}
@@ -257,6 +258,9 @@
 	g.told.restore(s.Told)
 	g.borne.restore(s.Borne)
 	g.able.restore(s.Able)
+	g.picked.restore(s.Picked)
+	g.tried.restore(s.Tried)
+	g.picks, g.tries = s.Picks, s.Tries
 	g.pace = s.Pace
 	g.good, g.ends, g.short = s.Good, s.Ends, s.Short
 	g.asking, g.crowded, g.open, g.turn, g.swept, g.subscribe = s.Asking, s.Crowded, s.Open, s.Turn, s.Swept, s.Subscribe
@@ -279,7 +283,7 @@
 			return nil, errState
 		}
 		o := &server{ServerEntry: v.Entry, open: v.Open, due: v.Due, slowness: v.Slowness, cold: v.Cold, coldAt: v.ColdAt,
-			room: v.Room, need: v.Need, roomAt: v.RoomAt, needAt: v.NeedAt}
+			room: v.Room, need: v.Need, roomAt: v.RoomAt}
 		for k := range v.Fails {
 			o.health = append(o.health, health{v.Fails[k], v.N[k], v.HealthAt[k]})
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -42,6 +42,10 @@
 	borne     average       // good answers a second that this gateway was given,
 	able      average       // from as much as so many warm servers that work,
 	pace      float64       // and what one of those is taken to bear
+	picked    average       // servers a second that were picked for an attempt, whether they bore it or not,
+	picks     float64       // and in this period,
+	tried     average       // choices of a server a second,
+	tries     float64       // and in this period
 	good      float64       // good answers in this period,
 	ends      float64       // and attempts ended
 	short     time.Duration // until when their number is no measure, since cold servers were spared
@@ -139,10 +143,15 @@
 	health   []health      // by class
 	cold     bool          // started at coldAt
 	coldAt   time.Duration
-	room     float64 // attempts that it can bear while it is cold, as of roomAt
-	need     float64 // what room must be for the next one, drawn at needAt
-	roomAt   time.Duration
-	needAt   time.Duration
+	room     float64       // attempts that it can bear while it is cold, as of roomAt
+	need     float64       // what room must be for the next one
+	roomAt   time.Duration // 0: not picked since it started
+}
+
+// draw is a server that was drawn for an attempt, with what it costs there.
+type draw struct {
+	s    *server
+	cost float64
 }
 
 // health is how attempts of a class ended lately at a server.
--- a/door/core_test.go
+++ b/door/core_test.go
@@ -600,3 +600,29 @@
 	r.final("200")
 	r.quiet()
 }
+
+// TestKeeperAnswersAsItMoves: an answer of the old keeper that comes in the moment of the move belongs to nobody; its call is
+// told as one that may have been added, and calls go to the new one.
+func TestKeeperAnswersAsItMoves(t *testing.T) {
+	r := newRig(t, 1, 3, "")
+	r.want(DialKeeper)
+	r.core.KeeperUp(r.now)
+	r.ask("GET", "/look", "kb", "")
+	r.want(SendKeeper)
+	r.core.Count(r.now, "127.0.0.1:2")
+	r.want(HangKeeper)
+	r.core.KeeperFeed(r.now, []byte("$1\r\n1\r\n:1\r\n"))
+	if d := r.want(DialKeeper); d.Addr != "127.0.0.1:2" {
+		t.Errorf("the next call goes to %s", d.Addr)
+	}
+	if n := r.core.keeper.pending(); n != 0 || r.core.Stats.KeeperMalformed != 0 {
+		t.Errorf("%d calls are held, %d answers malformed", n, r.core.Stats.KeeperMalformed)
+	}
+	r.core.KeeperUp(r.now)
+	r.ask("GET", "/look", "kb", "")
+	r.want(SendKeeper)
+	r.core.KeeperFeed(r.now, []byte("$1\r\n1\r\n:1\r\n"))
+	if n := r.core.keeper.pending(); n != 0 {
+		t.Errorf("%d calls wait at the new one", n)
+	}
+}
--- a/internal/sockets/crossing_test.go
+++ b/internal/sockets/crossing_test.go
@@ -320,3 +320,30 @@
 		r.served(id, "a")
 	}
 }
+
+// TestStopBeforeTheFirstRead: a request on a connection that was accepted, but not read, as the front door stopped taking
+// requests gets an answer: it is refused.
+func TestStopBeforeTheFirstRead(t *testing.T) {
+	count, _ := tally(t)
+	r := startNode(t, startLists(t).addr, count, 64, named(t, "a"))
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	cc := r.clientOf(c)
+	cc.mu.Lock()
+	io.WriteString(c, lookUp(1))
+	r.stop()
+	for !r.s.shared.Draining() {
+		runtime.Gosched()
+	}
+	cc.mu.Unlock()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("%d %s %v", resp.StatusCode, body, err)
+	}
+}
