A connection that makes room closes at once, and room counts once it is there

Change: one that makes room closes at once (it has rested for 2 s, its last answer has arrived), makeRoom() waits until the count is down and tells another every 50 ms, and what is beyond the bound by 16 is closed unread whatever came of it. Test: TestRestingConnectionsMakeRoom, with the reading back in: '503 Service Unavailable'.

--- a/internal/sockets/client.go
+++ b/internal/sockets/client.go
@@ -26,6 +26,7 @@
 	closed bool          // the last bytes are out
 	linger bool
 	ending bool // it is to end if nothing of a request has been read; its reader sees to that
+	brief  bool // and at once: another needs the room, and its last answer arrived long ago
 }
 
 func (s *Server) newClient(conn *net.TCPConn) (*clientConn, error) {
@@ -103,7 +104,7 @@
 // drain reads what a client still sends after its last answer, since closing on it could take the answer along.
 func (cc *clientConn) drain() {
 	cc.mu.Lock()
-	linger := cc.linger
+	linger := cc.linger && !cc.brief
 	if cc.m.Aborts() {
 		cc.link.conn.SetLinger(0)
 		cc.mu.Unlock()
--- a/internal/sockets/node_test.go
+++ b/internal/sockets/node_test.go
@@ -214,3 +214,37 @@
 		runtime.Gosched()
 	}
 }
+
+// TestRestingConnectionsMakeRoom: connections that rest after an answer, as many as there may be and none of which ever ends by
+// itself, keep no client out, and never are there more than the bound and those that are being turned away.
+func TestRestingConnectionsMakeRoom(t *testing.T) {
+	count, _ := tally(t)
+	r := startNode(t, startLists(t).addr, count, 64, named(t, "a"))
+	most := r.s.cfg.Limits.Connections
+	ask := func(id int) (*http.Response, error) {
+		c, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		io.WriteString(c, lookUp(id))
+		return http.ReadResponse(bufio.NewReader(c), nil)
+	}
+	for id := range most {
+		if resp, err := ask(id); err != nil || resp.StatusCode != 200 {
+			t.Fatal(resp, err)
+		}
+	}
+	last := time.Now()
+	for time.Since(last) < restTime { // all of them have rested
+		runtime.Gosched()
+	}
+	for id := range most {
+		if resp, err := ask(1000 + id); err != nil || resp.StatusCode != 200 {
+			t.Fatal(resp, err)
+		}
+		if n := r.s.shared.Clients.Load(); n > int64(most)+mostTurned {
+			t.Fatalf("%d connections, %d may be", n, most)
+		}
+	}
+}
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -249,7 +249,7 @@
 		}
 		wait = 5 * time.Millisecond
 		if n := s.shared.Clients.Add(1); n > int64(s.cfg.Limits.Connections) && !s.makeRoom() {
-			if n > int64(s.cfg.Limits.Connections)+mostTurned { // not even for an answer there is room
+			if s.shared.Clients.Load() > int64(s.cfg.Limits.Connections)+mostTurned { // not even for an answer there is room
 				s.shared.Clients.Add(-1)
 				conn.Close()
 				continue
@@ -287,16 +287,20 @@
 	talkTime   = 150 * time.Millisecond // that a new one has to say something before it has to make room
 	roomTime   = 300 * time.Millisecond // that accepting waits for room
 	roomEvery  = 5 * time.Millisecond
+	evictEvery = 10                    // of those looks a further connection is told to end
 	lastLook   = 50 * time.Millisecond // for connections that came in before accepting ends
 )
 
 // makeRoom waits a while for a connection that can be closed to make room for another, and closes it. Others that come
 // meanwhile wait to be accepted.
 func (s *Server) makeRoom() bool {
-	for range roomTime / roomEvery {
-		if s.evict() || s.shared.Clients.Load() <= int64(s.cfg.Limits.Connections) {
+	for i := range int(roomTime / roomEvery) {
+		if s.shared.Clients.Load() <= int64(s.cfg.Limits.Connections) {
 			return true
 		}
+		if i%evictEvery == 0 { // the one before may have turned out to be in use
+			s.evict()
+		}
 		select {
 		case <-time.After(roomEvery):
 		case <-s.hard.Done():
@@ -330,7 +334,10 @@
 	}
 	s.cmu.Unlock()
 	if least != nil {
-		least.shut()
+		least.mu.Lock()
+		least.brief = true
+		least.shutLocked()
+		least.mu.Unlock()
 	}
 	return least != nil
 }
