--- a/choice/choice.go
+++ b/choice/choice.go
@@ -651,8 +651,8 @@
 // attempts that their number and work, up to chance, may come to several times what is meant. This one's part
 // is a bucket that fills at that rate. Where it never holds one attempt, chance decides each time that the
 // server is picked, by the time since it was last picked: what the part brings in that time. So as many go as
-// it allows, however seldom this gateway meets the server. That time counts up to what passes between
-// two attempts that meet it, and the first time as what passes between two picks, so that many gateways do not
+// it allows, however seldom this gateway meets the server. That time counts up to what passes between two
+// attempts that meet it, and the first time as what passes between two picks, so that many gateways do not
 // come at once with what they saved up.
 func (g *Gateway) bears(s *server) bool {
 	if !s.cold || g.set.OverloadFactor <= 0 || g.set.OverloadTime <= 0 {
--- a/internal/sockets/client.go
+++ b/internal/sockets/client.go
@@ -93,10 +93,13 @@
 	cc.link.unarm()
 	if cc.m.Idle() {
 		if b := cc.link.poll(); len(b) > 0 {
+			cc.brief = false
 			cc.after(now, cc.m.Feed(now, b))
 			return
 		}
 		cc.m.Drain()
+	} else {
+		cc.brief = false // it is in use
 	}
 	cc.after(now, nil)
 }
