Attempts that begin during a shutdown are logged with the endpoint list they go by

Change: the event loop keeps the version that discovery confirmed last and when, and after the signal to stop logs both for each attempt that begins.

--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -147,7 +147,7 @@
 	socket.write(fmt.Appendf(nil, "GET /v1/endpoints?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.version, address))
 	body := newWatchBody(socket, func() { // nothing has changed since the version that is held
 		received = true
-		w.server.post(endpointsInForce{})
+		w.server.post(endpointsConfirmed{w.version})
 	})
 	messages := json.NewDecoder(body)
 	for {
@@ -261,7 +261,7 @@
 	} else {
 		w.server.post(endpointsUpdated{endpoints})
 	}
-	w.server.post(endpointsInForce{})
+	w.server.post(endpointsConfirmed{w.version})
 	w.server.log.Info("list of boxes", "seq", update.Version, "whole", update.Full, "entries", len(endpoints))
 	return nil
 }
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -106,6 +106,7 @@
 		case proxy.DialBackend:
 			s.dialBackend(effect.Conn)
 		case proxy.WriteAttempt:
+			s.logAttemptDuringShutdown(effect)
 			effect.Conn.Owner.(*backendConn).write(effect.Exchange, effect.Bytes)
 		case proxy.CloseBackend:
 			effect.Conn.Owner.(*backendConn).close()
@@ -139,3 +140,14 @@
 			"status", exchange.Status, "ms", float64((s.now()-exchange.Arrived).Microseconds())/1000)
 	}
 }
+
+// logAttemptDuringShutdown logs by which endpoint list an attempt begins after the signal to stop: an instance that ends
+// must go by a list that is followed to the last attempt.
+func (s *Server) logAttemptDuringShutdown(effect proxy.Effect) {
+	if !s.shuttingDown.Load() {
+		return
+	}
+	now := s.now()
+	s.log.Info("attempt during shutdown", "request", effect.Exchange.UniqueName, "addr", effect.Conn.Addr, "seq", s.endpointsVersion,
+		"confirmed_ms_ago", (now - s.endpointsConfirmedAt).Milliseconds(), "request_age_ms", (now - effect.Exchange.Arrived).Milliseconds())
+}
--- a/internal/server/message.go
+++ b/internal/server/message.go
@@ -111,8 +111,17 @@
 	s.instance.UpdateEndpoints(now, m.endpoints, s.clockOrigin())
 }
 
-// endpointsInForce tells that the endpoint list that the instance has may be used: discovery has confirmed it, or has been
-// waited for long enough. Until then requests are rejected.
+// endpointsConfirmed tells that discovery has said something by which the list of this version is current: a message or a
+// heartbeat. The list may be used from then on.
+type endpointsConfirmed struct{ version uint64 }
+
+func (m endpointsConfirmed) apply(s *Server, now time.Duration) {
+	s.endpointsVersion, s.endpointsConfirmedAt = m.version, now
+	s.shared.MarkStarted()
+}
+
+// endpointsInForce tells that discovery has been waited for long enough: the endpoint list that the instance has may be
+// used. Until then, or until endpointsConfirmed, requests are rejected.
 type endpointsInForce struct{}
 
 func (endpointsInForce) apply(s *Server, _ time.Duration) { s.shared.MarkStarted() }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -63,12 +63,16 @@
 	// instance and counter belong to the event loop from the start of Serve on.
 	instance *proxy.Instance
 	counter  *counterConn // nil: there is no connection, not even one that is being made
+	// What discovery has confirmed last, and when on the instance's clock; 0: nothing yet. For the log.
+	endpointsVersion     uint64
+	endpointsConfirmedAt time.Duration
 
 	connectionsCtx    context.Context // ends at step 4 of the shutdown
 	cancelConnections context.CancelFunc
 	goroutines        sync.WaitGroup // of connections and of readings of the endpoint file
 
 	expiredReads atomic.Int64 // reads of clients that ended by their deadline
+	shuttingDown atomic.Bool  // the context of Serve has ended
 
 	// queueMu guards the queue of the event loop and its state.
 	queueMu    sync.Mutex
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -32,6 +32,8 @@
 // stopAccepting is step 1, but for the endpoint watch, which sees the end of its context itself. signalled reports that the
 // instance was asked to stop, rather than that its accept loop has failed.
 func (s *Server) stopAccepting(signalled bool) {
+	s.shuttingDown.Store(true)
+	s.log.Info("shutting down", "signalled", signalled)
 	if delay := time.Duration(s.cfg.Limits.StopDelay); delay > 0 && signalled {
 		s.shared.CloseAfterResponses()
 		s.listener.SetDeadline(time.Now().Add(delay)) // what has come in by then is accepted
