The endpoint watch lives until the last attempt of a shutdown can no longer begin

Callers saw requests cut off by backends that were about to end: an instance that got SIGTERM forwards for seconds more, and sent to backends of whose drain it was never told. Cause: Serve ran the watch, of discovery and of the endpoint file, under the context that the signal ends. Change: the watch ends with the connections, at step 4, when the event loop is over, and Serve's shutdown waits for it; its reconnects and its move by SIGHUP go on as well. It works since an attempt begins in the event loop only. Tests, each failing before: TestRetryDuringShutdownFollowsDiscovery (standing watch, one begun anew, one moved by SIGHUP: "no watch stands"), TestEndpointFileIsFollowedDuringShutdown ("not logged: boxes=2"), TestFirstEndpointListDuringShutdown ("not logged: seq=9"). TestCounterMovesDuringShutdown passed before too and holds that row of the table. Now they pass three times over.

--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -24,7 +24,9 @@
 	writeTimeout          = 3 * time.Second        // for 64 KiB, which no client that reads takes longer for
 	clientIdleTimeout     = 30 * time.Second       // a client's connection without a request
 	streamIdleTimeout     = 30 * time.Second       // a response that flows without a byte; none does here
-	shutdownTimeout       = time.Minute            // until what is outstanding is cut off; requests have seconds by the classes' deadlines
+	maxShutdownDeadline   = 3 * time.Second        // as which a longer deadline of a class counts in the platform's earliest kill
+	killDelay             = 700 * time.Millisecond // from SIGTERM to the earliest kill, beside the longest deadline
+	shutdownMargin        = 50 * time.Millisecond  // before the earliest kill, for the last answers to be written
 	responseMargin        = 12 * time.Millisecond  // kept off a client's deadline for the response to reach it
 	reuseDelay            = 20 * time.Millisecond  // between requests on a backend connection, so that bytes behind a response are seen
 	defaultCounterTimeout = 50 * time.Millisecond  // of a call to the counter, where the settings have no time
@@ -52,9 +54,19 @@
 		c.Counter.Timeout = strictyaml.Duration(defaultCounterTimeout)
 	}
 	c.Limits = n.Limits.runtime(s.ConnectTimeout, s.IdleTimeout)
+	c.Limits.ShutdownTimeout = strictyaml.Duration(shutdownTimeout(s.Classes))
 	return c
 }
 
+// shutdownTimeout is how long after SIGTERM all requests have to be answered: just before the platform's earliest kill.
+func shutdownTimeout(classes []sitesettings.Class) time.Duration {
+	longest := time.Duration(0)
+	for _, class := range classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, maxShutdownDeadline) + killDelay - shutdownMargin
+}
+
 // runtime works out the runtime's limits from those of the processes and from how long backends take to connect and keep
 // an idle connection.
 func (l Limits) runtime(connectTimeout, backendIdle time.Duration) config.Limits {
@@ -81,7 +93,6 @@
 		ReuseDelay:         strictyaml.Duration(reuseDelay),
 		ResponseMargin:     strictyaml.Duration(responseMargin),
 		StreamIdleTimeout:  strictyaml.Duration(streamIdleTimeout),
-		ShutdownTimeout:    strictyaml.Duration(shutdownTimeout),
 		StopDelay:          strictyaml.Duration(stopDelay),
 	}
 }
--- a/internal/server/accept.go
+++ b/internal/server/accept.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
@@ -104,6 +105,8 @@
 	}
 	s.goroutines.Go(func() {
 		defer s.shared.ClientConns.Add(-1)
+		stop := context.AfterFunc(s.connectionsCtx, func() { conn.Close() })
+		defer stop()
 		rejectConnection(conn, s.shared.TooManyConnections())
 	})
 }
--- a/internal/server/backendconn.go
+++ b/internal/server/backendconn.go
@@ -62,6 +62,8 @@
 	}
 	defer socket.close()
 	defer socket.releaseBuffer()
+	stop := context.AfterFunc(bc.server.connectionsCtx, socket.close)
+	defer stop()
 	for bc.readOnce(socket) {
 	}
 }
--- a/internal/server/rig_test.go
+++ b/internal/server/rig_test.go
@@ -285,8 +285,11 @@
 // startGateway starts an instance with a configuration of three classes, three customers and the given backends.
 func startGateway(t *testing.T, counter, limits string, backends ...string) *gateway {
 	t.Helper()
-	r := &gateway{T: t, dir: t.TempDir(), log: &logBuffer{more: make(chan struct{}, 1)}, served: make(chan error, 1)}
-	text := `
+	return startGatewayOf(t, gatewayText+counter+limits, backends...)
+}
+
+// gatewayText is the configuration of startGateway, without counter and limits.
+const gatewayText = `
 openapi: api.yaml
 door: {number: 0, of: 3}
 classes:
@@ -302,7 +305,12 @@
 load: {via: answers, fields: [{name: cpu_utilization, is: utilization}, {name: named_metrics.in_flight, is: in-flight}]}
 attempts: {most: 3}
 log: {level: debug}
-` + counter + limits
+`
+
+// startGatewayOf starts an instance with a configuration of its own.
+func startGatewayOf(t *testing.T, text string, backends ...string) *gateway {
+	t.Helper()
+	r := &gateway{T: t, dir: t.TempDir(), log: &logBuffer{more: make(chan struct{}, 1)}, served: make(chan error, 1)}
 	for name, s := range map[string]string{"gateway.yaml": text, "api.yaml": api, "boxes.yaml": endpointsYAML(backends...)} {
 		if err := os.WriteFile(filepath.Join(r.dir, name), []byte(s), 0o600); err != nil {
 			t.Fatal(err)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -6,7 +6,7 @@
 //	goroutine                     started by             ends with
 //	event loop                    Serve                  step 3 of the shutdown (see shutdown.go)
 //	accept loop                   Serve                  the listener: its deadline or its end
-//	endpoint watch                Serve                  the context of Serve
+//	endpoint watch                Serve                  step 4
 //	stop of accepting             Serve                  the context of Serve
 //	client connection, reading    accept loop            its client, its last response, or step 5
 //	client over the limit         accept loop            its rejection: lingeringCloseTimeout at most
@@ -69,7 +69,7 @@
 
 	connectionsCtx    context.Context // ends at step 4 of the shutdown
 	cancelConnections context.CancelFunc
-	goroutines        sync.WaitGroup // of connections and of readings of the endpoint file
+	goroutines        sync.WaitGroup // of connections, of the endpoint watch and of readings of the endpoint file
 
 	expiredReads atomic.Int64 // reads of clients that ended by their deadline
 	shuttingDown atomic.Bool  // the context of Serve has ended
@@ -180,11 +180,8 @@
 		defer close(loopDone)
 		s.eventLoop(stopLoop)
 	}()
+	s.goroutines.Go(func() { watchEndpoints(s.connectionsCtx) })
 	g, gctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		watchEndpoints(gctx)
-		return nil
-	})
 	g.Go(s.accept)
 	g.Go(func() error {
 		<-gctx.Done()
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -4,19 +4,19 @@
 	"time"
 )
 
-// The order of a shutdown. A step begins when the one before it is over.
+// The order of a shutdown. A step begins when the one before it is over. Whatever an attempt depends on lives until step 4:
+// the endpoint watch with its reconnects and its move by SIGHUP, counter calls, health checks and timers.
 //
 //	step  begins                          what stops
-//	1     with the end of Serve's         the endpoint watch, of file or discovery: endpoints that are removed from here on are
-//	      context (SIGTERM)               not noticed. With limits.stop-delay, responses close their connections from now on,
-//	                                      and connections are accepted through the delay, and backlogTime after it; without,
-//	                                      the listener closes at once
+//	1     with the end of Serve's         with limits.stop-delay, responses close their connections from now on, and
+//	      context (SIGTERM)               connections are accepted through the delay, and backlogTime after it; without, the
+//	                                      listener closes at once
 //	2     when accepting is over          new requests: they are rejected. The listener and idle client connections close.
 //	                                      Requests under way are answered, for limits.shutdown-timeout at most
 //	3     when no client is left, or      the event loop: proxy.Instance.Stop, which closes idle backend connections and the
 //	      after limits.shutdown-timeout   counter's
-//	4     at once                         dials, backend connections that wait for a stream's permit, inspections by the
-//	                                      admin socket
+//	4     at once                         the endpoint watch, dials, backend connections that wait for a stream's permit,
+//	                                      inspections by the admin socket
 //	5     at once                         the client connections that are left
 //	6     at once                         nothing: it waits, without limit, for every backend connection that is not idle,
 //	                                      and for the other goroutines of connections; then it logs "stopped". An answer
@@ -29,8 +29,8 @@
 // what a shutdown waits for.
 const drainPoll = 10 * time.Millisecond
 
-// stopAccepting is step 1, but for the endpoint watch, which sees the end of its context itself. signalled reports that the
-// instance was asked to stop, rather than that its accept loop has failed.
+// stopAccepting is step 1. signalled reports that the instance was asked to stop, rather than that its accept loop has
+// failed.
 func (s *Server) stopAccepting(signalled bool) {
 	s.shuttingDown.Store(true)
 	s.log.Info("shutting down", "signalled", signalled)
--- /dev/null
+++ b/internal/server/shutdown_watch_test.go
@@ -0,0 +1,188 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// startHoldingBackend is a backend that holds each request until release is called, and then answers it. got is closed with
+// the first.
+func startHoldingBackend(t *testing.T, answer string) (addr string, got <-chan struct{}, release func()) {
+	received, held := make(chan struct{}), make(chan struct{})
+	receive := sync.OnceFunc(func() { close(received) })
+	addr = startScriptedPeer(t, func(c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		receive()
+		<-held
+		io.WriteString(c, answer)
+		io.Copy(io.Discard, in)
+	})
+	release = sync.OnceFunc(func() { close(held) })
+	t.Cleanup(release)
+	return addr, received, release
+}
+
+const notRun = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+// drainsAForB is a change by which backend a drains and b is up.
+func drainsAForB(a, b string) string {
+	return fmt.Sprintf(`{"seq":8,"whole":false,"hosts":[{"host":"a","dial":"%s","health":"leaving","share":1},{"host":"b","dial":"%s","health":"active","share":1}]}`+"\n", a, b)
+}
+
+// TestRetryDuringShutdownFollowsDiscovery: an instance that was told to end stopped following discovery while it still
+// forwarded: retries went to backends that drained meanwhile. Whatever becomes of the watch, the list is followed.
+func TestRetryDuringShutdownFollowsDiscovery(t *testing.T) {
+	for name, notify := range map[string]func(r *gateway, d *breakingDiscovery, change string){
+		"on the watch that stands": func(_ *gateway, d *breakingDiscovery, change string) { d.notify(change) },
+		"on a watch that was begun anew": func(_ *gateway, d *breakingDiscovery, change string) {
+			close(d.breakFirst)
+			<-d.firstEnded
+			d.notify(change)
+		},
+		"at an address that SIGHUP gave": func(r *gateway, _ *breakingDiscovery, change string) {
+			moved := startBreakingDiscovery(r.T)
+			r.server.SetAddresses(moved.addr, "")
+			moved.notify(change)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, got, release := startHoldingBackend(t, notRun)
+			discovery := startBreakingDiscovery(t)
+			counter, _ := startCounter(t)
+			r := startNode(t, discovery.addr, counter, 64, a)
+			served := make(chan string)
+			go func() {
+				resp := r.exchange(nodeRequest(1), 1)[0]
+				body, _ := io.ReadAll(resp.Body)
+				served <- fmt.Sprintf("%d %s", resp.StatusCode, body)
+			}()
+			<-got
+			r.stop()
+			r.waitForLog("shutting down")
+			notify(r, discovery, drainsAForB(a, startNamedBackend(t, "b")))
+			r.waitForLog("seq=8")
+			release()
+			if got, want := <-served, fmt.Sprintf("200 b %016x", 1); got != want {
+				t.Errorf("%q, want %q", got, want)
+			}
+		})
+	}
+}
+
+// breakingDiscovery is discovery whose first watch ends when breakFirst is closed.
+type breakingDiscovery struct {
+	*testing.T
+	addr                   string
+	send                   chan string
+	breakFirst, firstEnded chan struct{}
+}
+
+func startBreakingDiscovery(t *testing.T) *breakingDiscovery {
+	d := &breakingDiscovery{T: t, send: make(chan string), breakFirst: make(chan struct{}), firstEnded: make(chan struct{})}
+	watches := make(chan struct{}, 1)
+	watches <- struct{}{}
+	d.addr = startScriptedPeer(t, func(c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		io.WriteString(c, watchHead)
+		writeChunk(c, "\n")
+		select {
+		case <-watches:
+			defer close(d.firstEnded)
+			d.serveWatch(c, in, d.breakFirst)
+		default:
+			d.serveWatch(c, in, nil)
+		}
+	})
+	return d
+}
+
+// serveWatch writes what send is given until the watch is to break, or the instance ends it.
+func (d *breakingDiscovery) serveWatch(c net.Conn, in *bufio.Reader, broken <-chan struct{}) {
+	gone := make(chan struct{})
+	go func() { io.Copy(io.Discard, in); close(gone) }() // ends with the connection
+	for {
+		select {
+		case text := <-d.send:
+			writeChunk(c, text)
+		case <-broken:
+			return
+		case <-gone:
+			return
+		}
+	}
+}
+
+// notify writes a change on the watch that stands, and fails if none does for some seconds.
+func (d *breakingDiscovery) notify(change string) {
+	d.Helper()
+	select {
+	case d.send <- change:
+	case <-time.After(5 * time.Second):
+		d.Fatal("no watch stands")
+	}
+}
+
+// TestEndpointFileIsFollowedDuringShutdown: as TestRetryDuringShutdownFollowsDiscovery, with the list in a file.
+func TestEndpointFileIsFollowedDuringShutdown(t *testing.T) {
+	backend, got, release := startHoldingBackend(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+	r := startGateway(t, "", "", backend)
+	r.waitForLog("list of boxes")
+	done := make(chan int)
+	go func() { done <- r.status(request("GET", "/look", "ka", "")) }()
+	<-got
+	r.stop()
+	r.waitForLog("shutting down")
+	r.replaceFile("boxes.yaml", endpointsYAML(backend, backend))
+	r.waitForLog("boxes=2")
+	release()
+	if status := <-done; status != 200 {
+		t.Errorf("%d", status)
+	}
+}
+
+// TestFirstEndpointListDuringShutdown: SIGTERM came before discovery's first message. What that says holds for the
+// requests that still come in.
+func TestFirstEndpointListDuringShutdown(t *testing.T) {
+	tell := make(chan struct{})
+	b := startNamedBackend(t, "b")
+	asked := make(chan struct{}, 1)
+	discovery := startAgent(t, func(_ int, c net.Conn, _ string) {
+		io.WriteString(c, watchHead)
+		asked <- struct{}{}
+		<-tell
+		writeChunk(c, fmt.Sprintf(`{"seq":9,"whole":true,"hosts":[{"host":"b","dial":"%s","health":"active","share":1}]}`, b))
+	})
+	r := startNodeUnready(t, discovery)
+	<-asked
+	r.stop()
+	r.waitForLog("shutting down")
+	close(tell)
+	r.waitForLog("seq=9")
+	r.requireServedBy(1, "b")
+}
+
+// TestCounterMovesDuringShutdown: requests that are still admitted are counted at the counter that SIGHUP gave.
+func TestCounterMovesDuringShutdown(t *testing.T) {
+	discovery := startDiscovery(t)
+	counter, _ := startCounter(t)
+	moved, calls := startCounter(t)
+	r := startNode(t, discovery.addr, counter, 64, startNamedBackend(t, "a"))
+	r.requireServedBy(1, "a")
+	r.stop()
+	r.waitForLog("shutting down")
+	r.server.SetAddresses(discovery.addr, moved)
+	r.waitForLog("addr=" + moved)
+	for id := 2; calls() == 0; id++ {
+		r.requireServedBy(id, "a")
+	}
+}
