A shutdown ends within one bound, and requests without an answer by then get one

Callers of an instance that got SIGTERM while a backend was silent saw their connections break at SIGKILL, unanswered. Cause: after the event loop's end nobody closed backend connections that carry an attempt, and the shutdown waited for them without limit; at limits.shutdown-timeout clients were cut off instead of answered; on the platform that timeout was a minute after the end of accepting, the earliest kill comes 3.7 s after the signal at most. Change: the bound counts from the signal (on the platform the longest deadline, 3 s at most, plus 0.65 s); at it proxy.Instance.FailUnanswered gives every exchange its final answer, 502 or, where nothing was sent, 503; then event loop, watch and all connections end. A second SIGTERM goes on meaning nothing, which a table in shutdown.go says. It works since no wait is left that a peer can prolong.

--- a/internal/server/message.go
+++ b/internal/server/message.go
@@ -22,6 +22,15 @@
 	s.instance.RequestArrived(now, m.exchange)
 }
 
+// unansweredFailed is step 3 of the shutdown: all requests without an answer get one.
+type unansweredFailed struct{}
+
+func (unansweredFailed) apply(s *Server, now time.Duration) {
+	unanswered := s.instance.Unanswered()
+	s.instance.FailUnanswered(now)
+	s.log.Warn("shutdown: time is up for requests without an answer", "requests", unanswered)
+}
+
 // clientLeft tells that the client of an exchange has disconnected before its response was over.
 type clientLeft struct{ exchange *proxy.Exchange }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,8 +9,8 @@
 //	endpoint watch                Serve                  step 4
 //	stop of accepting             Serve                  the context of Serve
 //	client connection, reading    accept loop            its client, its last response, or step 5
-//	client over the limit         accept loop            its rejection: lingeringCloseTimeout at most
-//	backend connection, reading   event loop             its backend, or CloseBackend; a dial also with step 4
+//	client over the limit         accept loop            its rejection: lingeringCloseTimeout at most, or step 4
+//	backend connection, reading   event loop             its backend, CloseBackend, or step 4
 //	counter connection, reading   event loop             the counter, CloseCounter, or step 3
 //	reading of the endpoint file  endpoint watch, loop   the end of the reading
 //	admin socket                  startAdmin             step 7
@@ -72,7 +72,9 @@
 	goroutines        sync.WaitGroup // of connections, of the endpoint watch and of readings of the endpoint file
 
 	expiredReads atomic.Int64 // reads of clients that ended by their deadline
-	shuttingDown atomic.Bool  // the context of Serve has ended
+
+	shuttingDown     atomic.Bool // from step 1 of the shutdown on
+	shutdownDeadline time.Time   // set at step 1, before the accept loop ends
 
 	// queueMu guards the queue of the event loop and its state.
 	queueMu    sync.Mutex
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -12,31 +12,41 @@
 //	      context (SIGTERM)               connections are accepted through the delay, and backlogTime after it; without, the
 //	                                      listener closes at once
 //	2     when accepting is over          new requests: they are rejected. The listener and idle client connections close.
-//	                                      Requests under way are answered, for limits.shutdown-timeout at most
-//	3     when no client is left, or      the event loop: proxy.Instance.Stop, which closes idle backend connections and the
-//	      after limits.shutdown-timeout   counter's
-//	4     at once                         the endpoint watch, dials, backend connections that wait for a stream's permit,
-//	                                      inspections by the admin socket
+//	                                      Requests under way are answered, each by its deadline
+//	3     limits.shutdown-timeout after   requests without an answer: they fail, or are rejected where nothing of them was
+//	      step 1, if clients are left     sent; responses that are being streamed break off
+//	4     when no client is left, or      the event loop, after which no attempt begins: with it counter calls, health checks
+//	      finalResponseTime after step 3  and timers. The endpoint watch, dials, and all connections to backends and counter
 //	5     at once                         the client connections that are left
-//	6     at once                         nothing: it waits, without limit, for every backend connection that is not idle,
-//	                                      and for the other goroutines of connections; then it logs "stopped". An answer
-//	                                      does not end the wait: the event loop, which would close the connection, is
-//	                                      over, so that the backend has to. A second SIGTERM does not end it either
+//	6     at once                         nothing: the goroutines of connections end; then "stopped" is logged
 //	7     at once                         the admin socket
 //	8     at once                         the trace recorder, once it has written what it holds
+//
+// What a signal means in each phase of a process:
+//
+//	signal           starting, ready                     shutting down
+//	SIGTERM, SIGINT  step 1                              nothing: the shutdown is bounded, and requests are still answered
+//	SIGHUP (node)    the addresses of discovery and      the same: attempts that are still to begin go by the new ones
+//	                 counter are read again
 
-// drainPoll is how often client connections are checked during a shutdown: short beside a response, so that the last one is not
-// what a shutdown waits for.
-const drainPoll = 10 * time.Millisecond
+const (
+	// drainPoll is how often client connections are checked during a shutdown: short beside a response, so that the last
+	// one is not what a shutdown waits for.
+	drainPoll = 10 * time.Millisecond
+	// finalResponseTime is how long the answers of step 3 have to be written.
+	finalResponseTime = 20 * time.Millisecond
+)
 
 // stopAccepting is step 1. signalled reports that the instance was asked to stop, rather than that its accept loop has
 // failed.
 func (s *Server) stopAccepting(signalled bool) {
+	timeout := time.Duration(s.cfg.Limits.ShutdownTimeout)
+	s.shutdownDeadline = time.Now().Add(timeout)
 	s.shuttingDown.Store(true)
 	s.log.Info("shutting down", "signalled", signalled)
 	if delay := time.Duration(s.cfg.Limits.StopDelay); delay > 0 && signalled {
 		s.shared.CloseAfterResponses()
-		s.listener.SetDeadline(time.Now().Add(delay)) // what has come in by then is accepted
+		s.listener.SetDeadline(time.Now().Add(min(delay, timeout))) // what has come in by then is accepted
 		return
 	}
 	s.listener.Close()
@@ -56,27 +66,33 @@
 	s.logStatistics()
 }
 
-// drainClients waits until all requests under way are answered and their connections closed, or
-// limits.shutdown-timeout is over.
+// drainClients is steps 2 and 3.
 func (s *Server) drainClients() {
 	s.shared.RejectNewRequests()
 	s.listener.Close()
-	limit := time.NewTimer(time.Duration(s.cfg.Limits.ShutdownTimeout))
-	defer limit.Stop()
+	if s.waitForClients(s.shutdownDeadline) {
+		return
+	}
+	s.post(unansweredFailed{})
+	if !s.waitForClients(time.Now().Add(finalResponseTime)) {
+		s.log.Warn("shutdown: client connections are left at the end", "connections", len(s.openClients()))
+	}
+}
+
+// waitForClients asks idle clients to close, again and again, and reports whether none is left by a deadline.
+func (s *Server) waitForClients(deadline time.Time) bool {
 	for {
 		open := s.openClients()
 		if len(open) == 0 {
-			return
+			return true
 		}
 		for _, cc := range open {
 			cc.requestClose()
 		}
-		select {
-		case <-limit.C:
-			s.log.Warn("shutdown: clients left without their answer's end", "connections", len(open))
-			return
-		case <-time.After(drainPoll):
+		if !time.Now().Before(deadline) {
+			return false
 		}
+		time.Sleep(min(drainPoll, time.Until(deadline)))
 	}
 }
 
--- a/internal/server/shutdown_watch_test.go
+++ b/internal/server/shutdown_watch_test.go
@@ -6,9 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"sandyard/internal/platform"
 )
 
 // startHoldingBackend is a backend that holds each request until release is called, and then answers it. got is closed with
@@ -186,3 +190,93 @@
 		r.requireServedBy(id, "a")
 	}
 }
+
+// startSilentBackend is a backend that reads one request and never answers; got is closed when it has it.
+func startSilentBackend(t *testing.T) (addr string, got <-chan struct{}) {
+	received := make(chan struct{})
+	return startScriptedPeer(t, func(c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		close(received)
+		io.Copy(io.Discard, in)
+	}), received
+}
+
+// requireEnd fails unless the instance ends within a time, without an error.
+func (r *gateway) requireEnd(within time.Duration) {
+	r.Helper()
+	select {
+	case err := <-r.served:
+		if err != nil {
+			r.Errorf("it ends with %v", err)
+		}
+		close(r.served)
+	case <-time.After(within):
+		r.Fatalf("it does not end within %v", within)
+	}
+}
+
+// TestShutdownIsBounded: a backend stayed silent, and the process waited for it without limit until it was killed with
+// the request unanswered. The request gets its answer, the process ends by limits.shutdown-timeout, and a second signal
+// changes neither.
+func TestShutdownIsBounded(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	silent, got := startSilentBackend(t)
+	r := startGateway(t, "", fmt.Sprintf("limits: {shutdown-timeout: %v}\n", timeout), silent)
+	done := make(chan int)
+	go func() { done <- r.status(request("GET", "/look", "ka", "")) }()
+	<-got
+	begun := time.Now()
+	r.stop()
+	r.stop()
+	if status := <-done; status != 502 {
+		t.Errorf("the request's answer: %d", status)
+	}
+	r.requireEnd(10 * timeout)
+	if took := time.Since(begun); took < timeout {
+		t.Errorf("it ended after %v", took)
+	}
+}
+
+// TestShutdownEndsWithoutClients: a client left, and its attempt at a silent backend, which may not be cancelled, kept the
+// process from ending.
+func TestShutdownEndsWithoutClients(t *testing.T) {
+	silent, got := startSilentBackend(t)
+	r := startGatewayOf(t, strings.Replace(gatewayText, "attempts: {most: 3}", "attempts: {most: 3, cancel: false}", 1), silent)
+	client, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(client, request("GET", "/look", "ka", ""))
+	<-got
+	client.Close()
+	for r.server.shared.ClientConns.Load() > 0 {
+		runtime.Gosched()
+	}
+	r.stop()
+	r.requireEnd(3 * time.Second)
+}
+
+// TestShutdownEndsBeforeEarliestKill: the platform kills a process at the earliest by its longest deadline, counted as 3 s
+// where it is longer, and 0.7 s after SIGTERM. The shutdown ends before that, and not before requests that were read in
+// limits.stop-delay have had their time.
+func TestShutdownEndsBeforeEarliestKill(t *testing.T) {
+	for _, c := range []struct{ deadline, kill time.Duration }{
+		{480 * time.Millisecond, 1180 * time.Millisecond},
+		{3 * time.Second, 3700 * time.Millisecond},
+		{5 * time.Second, 3700 * time.Millisecond},
+	} {
+		n, err := platform.ParseConfig(fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1f","settings":{"me":0,"peers-total":2,
+"services":[{"name":"short","semantics":"retryable","aim-ms":100,"deadline-ms":100},{"name":"long","semantics":"retryable","aim-ms":200,"deadline-ms":%d}],
+"plans":[{"name":"team","refill":1000,"store-size":1000}]}}`, c.deadline.Milliseconds()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		limits := n.Config.Limits
+		bound := time.Duration(limits.ShutdownTimeout) + finalResponseTime
+		if earliest := time.Duration(limits.StopDelay) + backlogTime + min(c.deadline, 3*time.Second) - time.Duration(limits.ResponseMargin); bound >= c.kill || bound < earliest {
+			t.Errorf("deadline %v: it ends after %v; killed after %v, requests have until %v", c.deadline, bound, c.kill, earliest)
+		}
+	}
+}
--- a/proxy/requests.go
+++ b/proxy/requests.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"sandyard/decision"
@@ -73,6 +75,32 @@
 	inst.releaseIfDone(ex)
 }
 
+// FailUnanswered gives every exchange without an answer its final one, at the end of a shutdown: one of which no byte was
+// sent to a backend is rejected, any other fails, and a response that is being streamed breaks off.
+func (inst *Instance) FailUnanswered(now time.Duration) {
+	inst.advanceTo(now)
+	for _, id := range slices.Sorted(maps.Keys(inst.requests)) {
+		ex := inst.requests[id]
+		switch {
+		case ex == nil || ex.isProbe || ex.state == Done:
+			continue
+		case ex.state == Streaming:
+			inst.closeConn(ex.streamingConn)
+			inst.failAttempt(ex, ex.streamingAttempt, decision.Cancelled)
+		case ex.wasSent():
+			inst.answerLocally(id, eventFailed, &attemptFailed, 0)
+		default:
+			inst.answerLocally(id, eventRejected, &shuttingDown, localRetryAfter)
+		}
+		inst.handleAndDrain(decision.ClientDisconnected{Request: id})
+	}
+}
+
+// wasSent reports whether the first byte of an attempt was written.
+func (ex *Exchange) wasSent() bool {
+	return slices.ContainsFunc(ex.attempts, func(attempt attempt) bool { return attempt.firstByteAt > 0 })
+}
+
 // reject carries out the decision gateway's action.
 func (inst *Instance) reject(action decision.Reject) {
 	response := &noCapacity
