A health check's large response is malformed instead of ending the process

Callers would have lost every request that an instance held: with load.via probes, one backend's response to a health check above limits.hold-answer ended the process. Cause: ResponseReader streams what it may not hold, and a health check has no client to stream to. Evidence: TestLargeHealthCheckResponse, which failed before with "panic: interface conversion: interface {} is nil, not *server.clientConn" in carryOutEffects. Change: to a health check such a response is malformed, so that its connection closes and the check fails; it works since a ResponseReader is the only source of Started.

--- a/internal/server/backendconn_test.go
+++ b/internal/server/backendconn_test.go
@@ -197,3 +197,34 @@
 		}
 	}
 }
+
+// TestLargeHealthCheckResponse: the response to a health check was larger than what is held of a response. It was streamed
+// to a client that a health check does not have, and the process died with all requests that it held.
+func TestLargeHealthCheckResponse(t *testing.T) {
+	checked := make(chan struct{}, 1)
+	backend := startScriptedPeer(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			body := "hi"
+			if req.URL.Path == "/load" {
+				body = strings.Repeat("x", 4*readSize)
+				select {
+				case checked <- struct{}{}:
+				default:
+				}
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+	text := strings.Replace(gatewayText, "load: {via: answers,", "probes: {allowed: true}\nload: {via: probes,", 1)
+	r := startGatewayOf(t, text+"limits: {hold-answer: 1KiB}\n", backend)
+	for range 3 {
+		<-checked
+		if status := r.status(request("GET", "/look", "ka", "")); status != 200 {
+			t.Errorf("a request beside the health checks: %d", status)
+		}
+	}
+}
--- a/proxy/backendconn.go
+++ b/proxy/backendconn.go
@@ -133,8 +133,7 @@
 // what the rest takes is up to how fast the client reads. Counted as the backend's latency it would make a slow client
 // look like a slow backend, and other requests would be rejected.
 //
-// Health checks are not an exception: a successful response to one that is larger than limits.hold-answer gives StreamResponse
-// with an Exchange whose Owner is nil, which internal/server does not survive.
+// A ResponseReader starts no response to a health check, which has no client.
 func (inst *Instance) startResponse(conn *BackendConn, response *Response) {
 	ex, index, outcome := conn.exchange, conn.attempt, response.Outcome
 	if outcome != decision.OK || !ex.apply(eventResponseStarted) {
--- a/proxy/responsereader.go
+++ b/proxy/responsereader.go
@@ -38,7 +38,8 @@
 // It belongs to one goroutine at a time, and no method blocks.
 //
 // A response is held until it is complete, so that nothing has reached the client if the backend breaks off and a retry is
-// allowed. One larger than limits.hold-answer, or of a streaming class, is streamed: passed on as it comes.
+// allowed. One larger than limits.hold-answer, or of a streaming class, is streamed: passed on as it comes. To a health check
+// it is Malformed.
 type ResponseReader struct {
 	shared    *Shared
 	parser    *http1.Reader
@@ -133,10 +134,12 @@
 			return Response{}
 		}
 		return Response{Kind: Continued, Status: r.head.Status, Bytes: out}
-	case len(r.body) > int(r.shared.Config.Limits.HoldResponse) || r.isStreamClass():
-		return r.startStreaming()
+	case len(r.body) <= int(r.shared.Config.Limits.HoldResponse) && !r.isStreamClass():
+		return Response{}
+	case r.exchange.isProbe: // there is no client to stream to
+		return r.malformed()
 	}
-	return Response{}
+	return r.startStreaming()
 }
 
 // exceedsLimit reports whether a body of n bytes is larger than limits.answer, if that is set: a backend that sends so much
