A whole endpoint list removes backends that were draining as well

Callers could have a request begin at a backend that discovery had dropped: after a drain notice, a whole list that leaves the backend out did not mark it as removed, so that an attempt decided earlier, on a connection that came up late, began there until half of the grace was over; and decision kept such backends for ever. Cause: ReplaceEndpoints and handleEndpoints marked only those that were up, and decision forgot only those that leave the list of those up. Evidence, both failing before: a new case of TestAttemptIsCheckedBeforeFirstByte ("it is written: true") and TestDrainedBackendsAreForgotten ("2 backends are kept, 1 is listed", for a change and for a full list). Change: what a full list leaves out is removed whatever its state was, and what is removed with nothing in flight is forgotten. It works since isObsolete drops attempts at removed backends.

--- a/decision/endpoints.go
+++ b/decision/endpoints.go
@@ -37,9 +37,8 @@
 	return endpointTable{known: map[BackendID]*backendRecord{}, watchPending: subscribe}
 }
 
-// forgetIfGone forgets a removed backend if nothing is in flight there. It is called when a backend leaves the list of
-// those that are up, and when an attempt at it ends. A backend that was draining before it was removed, with nothing in
-// flight any more, is therefore not forgotten; nor is a draining one that a full list leaves out.
+// forgetIfGone forgets a removed backend if nothing is in flight there. It is called when endpoints have changed, and when
+// an attempt at the backend ends.
 func (t *endpointTable) forgetIfGone(backend *backendRecord) {
 	if backend.State == Removed && backend.inFlight == 0 {
 		delete(t.known, backend.Backend)
@@ -62,7 +61,7 @@
 		return
 	}
 	if event.Full {
-		for _, backend := range g.endpoints.up {
+		for _, backend := range g.endpoints.known {
 			backend.State = Removed
 		}
 	}
@@ -74,9 +73,11 @@
 
 // dropNotUp takes the backends that may get no more attempts off the list, and forgets those that are gone.
 func (t *endpointTable) dropNotUp() {
+	for _, backend := range t.known {
+		t.forgetIfGone(backend)
+	}
 	stillUp := t.up[:0]
 	for _, backend := range t.up {
-		t.forgetIfGone(backend)
 		if backend.State == Up {
 			stillUp = append(stillUp, backend)
 		}
--- a/decision/endpoints_test.go
+++ b/decision/endpoints_test.go
@@ -33,6 +33,26 @@
 	}
 }
 
+// Backends that had drained before they were removed stayed in the table for ever: a change that removes them, and a full
+// list that leaves them out, must have them forgotten.
+func TestDrainedBackendsAreForgotten(t *testing.T) {
+	for name, removal := range map[string]decision.EndpointsChanged{
+		"a change":    {Endpoints: []decision.Endpoint{{Backend: 2, State: decision.Removed}}},
+		"a full list": {Full: true, Endpoints: upEndpoints(1)},
+	} {
+		driver := startDriver(t, basicSettings(), 0, upEndpoints(1, 2)...)
+		driver.handle(decision.EndpointsChanged{Endpoints: []decision.Endpoint{{Backend: 2, State: decision.Draining}}})
+		driver.handle(removal)
+		state, err := driver.gateway.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if state.KnownBackends != 1 {
+			t.Errorf("%s: %d backends are kept, 1 is listed", name, state.KnownBackends)
+		}
+	}
+}
+
 // A watch that failed is asked for again, but not at once: all instances see the failure together.
 func TestWatchesAgainAfterFailure(t *testing.T) {
 	set := basicSettings()
--- a/internal/server/message.go
+++ b/internal/server/message.go
@@ -105,8 +105,7 @@
 
 // endpointsReplaced is a whole endpoint list: what it leaves out is removed. A removal takes effect within this message: no
 // attempt begins any more at an endpoint that was up, not even one that was decided before (isObsolete in
-// proxy/attempts.go). Exception: where a list leaves out an endpoint that was draining, an attempt that was decided before
-// may still begin, as for any draining endpoint, until half of its drain grace is over.
+// proxy/attempts.go).
 type endpointsReplaced struct{ endpoints []config.Endpoint }
 
 func (m endpointsReplaced) apply(s *Server, now time.Duration) {
--- a/proxy/attempts_test.go
+++ b/proxy/attempts_test.go
@@ -33,6 +33,10 @@
 		{"its backend is removed", func(r *harness, client *ClientConn, ex *Exchange) {
 			r.instance.UpdateEndpoints(r.now, removed, time.Time{})
 		}, false},
+		{"its backend began to drain, and a whole endpoint list leaves it out", func(r *harness, client *ClientConn, ex *Exchange) {
+			r.instance.UpdateEndpoints(r.now, endpointList(1, 1), time.Time{})
+			r.instance.ReplaceEndpoints(r.now, nil, time.Time{})
+		}, false},
 		{"its backend began to drain a moment ago", func(r *harness, client *ClientConn, ex *Exchange) {
 			r.instance.UpdateEndpoints(r.now, endpointList(1, 1), time.Time{})
 		}, true},
--- a/proxy/endpoints.go
+++ b/proxy/endpoints.go
@@ -117,15 +117,15 @@
 	backend.endpoint = endpoint
 }
 
-// retireBackends marks backends that were up and that the list has left out as removed, and closes the idle connections of
-// all that are not up. Attempts that were written are let finish; isObsolete decides about those that were not.
-//
-// A backend that was draining when the list left it out keeps that state: an attempt that was decided before may still
-// begin there until half of its drain grace is over.
+// retireBackends marks backends that the list has left out as removed, those that were draining as well, and closes the idle
+// connections of all that are not up. Attempts that were written are let finish; isObsolete drops those that were not.
 func (inst *Instance) retireBackends() {
 	for _, backend := range slices.Clone(inst.backendsInOrder) { // closing may remove a backend
 		if !backend.listed && backend.endpoint.State == decision.Up {
-			backend.endpoint.State, backend.notUpSince = decision.Removed, inst.now
+			backend.notUpSince = inst.now
+		}
+		if !backend.listed {
+			backend.endpoint.State = decision.Removed
 		}
 		if backend.endpoint.State != decision.Up {
 			inst.closeIdleConns(backend)
