The drill tells why a request has no answer: times, lateness, waits for a processor

Need: the entry "short drill beside nineteen others" could not be told apart by cause. Change: the report has, for each request without an answer, its client's moments (started, connected, written, first byte, end), the instance's debug records of that connection, how long the instance's threads waited for a processor meanwhile (schedstat), the drill's own lateness, and the listener's overflow counter; instances log connections and a late event loop at debug and its greatest lateness when they stop. Tests of internal/drill pass.

--- a/internal/drill/client.go
+++ b/internal/drill/client.go
@@ -75,22 +75,34 @@
 // readBuffer is in bytes: most responses fit.
 const readBuffer = 8 << 10
 
+// callTimes are the moments of a call as its client saw them; zero: it did not come to that.
+type callTimes struct {
+	started, connected, written, firstByte time.Time
+	localAddr                              string // of the connection, by which the instance's log names it
+}
+
 // call sends one request and returns how it ended, with the number of complete responses.
-func (c *client) call(request []byte, method string, deadline time.Time) (e invariant.Ending, responses int) {
+func (c *client) call(request []byte, method string, deadline time.Time, times *callTimes) (e invariant.Ending, responses int) {
+	times.started = time.Now()
 	conn, err := c.get(deadline)
 	if err != nil {
 		return invariant.NotAccepted, 0
 	}
+	times.connected, times.localAddr = time.Now(), conn.LocalAddr().String()
 	conn.SetDeadline(deadline)
 	if _, err := conn.Write(request); err != nil {
 		conn.Close()
 		return endingOf(err), 0
 	}
+	times.written = time.Now()
 	conn.reader.Expect(method)
 	var r response
 	b := make([]byte, readBuffer)
 	for {
 		n, err := conn.Read(b)
+		if times.firstByte.IsZero() && n > 0 {
+			times.firstByte = time.Now()
+		}
 		if err != nil {
 			conn.Close()
 			if e := endingOf(err); e != invariant.ConnectionBroken || r.head == nil {
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -42,6 +42,10 @@
 	ValueShare float64  `json:"worth_served_in_time"` // of the value offered
 	Exits      []string `json:"bad_exits"`            // processes that did not end as they should
 	Faults     int      `json:"troubles"`
+
+	Unanswered       []UnansweredRequest `json:"unanswered"`         // also those that no rule asks an answer for
+	Lateness         []Lateness          `json:"lateness"`           // of the drill's own process
+	ListenerOverflow int                 `json:"listener_overflows"` // of all listeners of this machine, during the drill
 }
 
 // Failed reports whether a rule was broken or not exercised, or a process did not end as it should.
@@ -68,6 +72,9 @@
 	totalSurge     float64
 	surges         map[string]float64 // by plan or customer
 	requests       int
+	unanswered     []UnansweredRequest
+	lateness       latenessMonitor
+	processorWaits processorWaitMonitor
 	customers      []*customer
 	backends       []*backend
 	replacements   int // backends started in place of others
@@ -117,15 +124,21 @@
 	if err := d.startAll(); err != nil {
 		return Report{}, err
 	}
+	overflows := listenerOverflows()
+	stopLateness, stopWaits := d.lateness.start(d.now), d.processorWaits.start(d)
 	err := d.play(ctx)
 	d.stopAll()
+	stopLateness()
+	stopWaits()
 	for _, c := range d.clients {
 		c.close()
 	}
 	if err != nil {
 		return Report{}, err
 	}
-	return d.report(), nil
+	report := d.report()
+	report.ListenerOverflow = listenerOverflows() - overflows
+	return report, nil
 }
 
 // Defaults of Options.
@@ -175,7 +188,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := Report{Verdict: d.auditor.Verdict(), Seed: d.options.Seed, Seconds: d.options.Seconds, Requests: d.requests, Exits: d.badExits,
-		Faults: len(d.options.Events)}
+		Faults: len(d.options.Events), Unanswered: d.unanswered, Lateness: d.lateness.notable}
+	d.addInstanceRecords(r.Unanswered)
 	offered, served := 0.0, 0.0
 	for _, p := range r.Plans {
 		offered, served = offered+p.ValueOffered, served+p.ValueServed
--- /dev/null
+++ b/internal/drill/evidence.go
@@ -0,0 +1,249 @@
+package drill
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"sandyard/invariant"
+)
+
+// UnansweredRequest is a request whose client got no answer, with what client and instance recorded of it. Times are
+// milliseconds since the drill began; 0: it did not come to that.
+type UnansweredRequest struct {
+	ID              string   `json:"id"`
+	Instance        int      `json:"door"`
+	Ending          string   `json:"ending"`
+	SentAt          int64    `json:"sent_at"`
+	Timeout         int64    `json:"timeout"`
+	StartedAt       int64    `json:"started_at"` // when the client's goroutine came to it
+	ConnectedAt     int64    `json:"connected_at"`
+	WrittenAt       int64    `json:"written_at"`
+	FirstByteAt     int64    `json:"first_byte_at"`
+	EndedAt         int64    `json:"ended_at"`
+	ClientAddr      string   `json:"client"`
+	ProcessorWait   int64    `json:"door_waited_for_processor"` // of the instance's threads together, from SentAt to EndedAt
+	InstanceRecords []string `json:"door_records"`              // of the connection, and of a late event loop
+}
+
+// unansweredRequest notes how a request ended; mu is held.
+func (d *Drill) unansweredRequest(r *invariant.Request, ending invariant.Ending, times *callTimes) UnansweredRequest {
+	since := func(at time.Time) int64 {
+		if at.IsZero() {
+			return 0
+		}
+		return at.Sub(d.origin).Milliseconds()
+	}
+	return UnansweredRequest{
+		ID:          r.ID,
+		Instance:    r.Instance,
+		Ending:      fmt.Sprint(ending),
+		SentAt:      r.SentAt.Milliseconds(),
+		Timeout:     r.Timeout.Milliseconds(),
+		StartedAt:   since(times.started),
+		ConnectedAt: since(times.connected),
+		WrittenAt:   since(times.written),
+		FirstByteAt: since(times.firstByte),
+		EndedAt:     d.now().Milliseconds(),
+		ClientAddr:  times.localAddr,
+	}
+}
+
+// recordsMargin is how long after a request's end the instance's records of it are searched for.
+const recordsMargin = 2 * time.Second
+
+// addInstanceRecords adds what the instances logged of the connections of requests without an answer.
+func (d *Drill) addInstanceRecords(unanswered []UnansweredRequest) {
+	for i := range unanswered {
+		u := &unanswered[i]
+		from := d.origin.Add(time.Duration(u.SentAt) * time.Millisecond)
+		until := d.origin.Add(time.Duration(u.EndedAt)*time.Millisecond + recordsMargin)
+		u.ProcessorWait = d.processorWaits.between(u.Instance, u.SentAt, u.EndedAt)
+		u.InstanceRecords = logRecords(filepath.Join(d.dir, fmt.Sprintf("door-%d.log", u.Instance)), u.ClientAddr, from, until, d.origin)
+	}
+}
+
+// logRecords returns an instance's records of a client's connection, and of its event loop when that was late, each with
+// its time in milliseconds since origin.
+func logRecords(path, client string, from, until, origin time.Time) (records []string) {
+	file, err := os.Open(path)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	defer file.Close()
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		line := lines.Text()
+		ofConnection := client != "" && strings.Contains(line, strconv.Quote(client))
+		if !ofConnection && !strings.Contains(line, "event loop late") {
+			continue
+		}
+		at, err := recordTime(line)
+		if err != nil || at.After(until) || at.Before(from) && !strings.Contains(line, "client connected") {
+			continue
+		}
+		records = append(records, fmt.Sprintf("%d %s", at.Sub(origin).Milliseconds(), line))
+	}
+	return records
+}
+
+// recordTime reads the time of a JSON log record, which comes first.
+func recordTime(line string) (time.Time, error) {
+	_, rest, _ := strings.Cut(line, `"time":"`)
+	text, _, _ := strings.Cut(rest, `"`)
+	return time.Parse(time.RFC3339Nano, text)
+}
+
+// Lateness is a moment at which the drill's process came late, in milliseconds.
+type Lateness struct {
+	At   int64 `json:"at"` // since the drill began
+	Late int64 `json:"late"`
+}
+
+const (
+	// latenessTick is how often the drill looks at its own lateness.
+	latenessTick = 5 * time.Millisecond
+	// notableLateness is what is kept.
+	notableLateness = 20 * time.Millisecond
+)
+
+// latenessMonitor is a ticking goroutine that keeps when it ran late: by it late clients can be told from late instances.
+type latenessMonitor struct {
+	notable []Lateness // after stop
+}
+
+// start begins to watch; the function that it returns ends that.
+func (m *latenessMonitor) start(now func() time.Duration) (stop func()) {
+	quit, done := make(chan struct{}), make(chan struct{})
+	go func() { // ends with stop
+		defer close(done)
+		ticker := time.NewTicker(latenessTick)
+		defer ticker.Stop()
+		for last := now(); ; {
+			select {
+			case <-quit:
+				return
+			case <-ticker.C:
+			}
+			at := now()
+			if late := at - last - latenessTick; late >= notableLateness {
+				m.notable = append(m.notable, Lateness{At: at.Milliseconds(), Late: late.Milliseconds()})
+			}
+			last = at
+		}
+	}()
+	return func() { close(quit); <-done }
+}
+
+// processorWaitTick is how often it is looked at how long the instances' threads have waited for a processor.
+const processorWaitTick = 100 * time.Millisecond
+
+// processorWait is how long the threads of an instance have waited for a processor within a tick, in milliseconds: they
+// could run, and the machine ran others.
+type processorWait struct {
+	at       int64 // the end of the tick, since the drill began
+	instance int
+	waited   int64
+}
+
+// processorWaitMonitor watches the instances' processes: by it a machine that is too busy can be told from an instance that
+// is.
+type processorWaitMonitor struct {
+	waits []processorWait // after stop
+}
+
+// between adds up the waits of an instance that ended in a time.
+func (m *processorWaitMonitor) between(instance int, from, until int64) (sum int64) {
+	for _, wait := range m.waits {
+		if wait.instance == instance && wait.at >= from && wait.at <= until+processorWaitTick.Milliseconds() {
+			sum += wait.waited
+		}
+	}
+	return sum
+}
+
+// start begins to watch; the function that it returns ends that.
+func (m *processorWaitMonitor) start(d *Drill) (stop func()) {
+	quit, done := make(chan struct{}), make(chan struct{})
+	go func() { // ends with stop
+		defer close(done)
+		ticker := time.NewTicker(processorWaitTick)
+		defer ticker.Stop()
+		last := map[int]time.Duration{} // by process
+		for {
+			select {
+			case <-quit:
+				return
+			case <-ticker.C:
+			}
+			for instance, pid := range d.instanceProcesses() {
+				total := threadsWaited(pid)
+				if before, ok := last[pid]; ok && total > before {
+					m.waits = append(m.waits, processorWait{d.now().Milliseconds(), instance, (total - before).Milliseconds()})
+				}
+				last[pid] = total
+			}
+		}
+	}()
+	return func() { close(quit); <-done }
+}
+
+// instanceProcesses are the process numbers of the instances, in their order.
+func (d *Drill) instanceProcesses() (pids []int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.instances {
+		pids = append(pids, p.cmd.Process.Pid)
+	}
+	return pids
+}
+
+// threadsWaited is how long the threads of a process have waited for a processor since they began; 0 where the kernel does
+// not tell.
+func threadsWaited(pid int) (sum time.Duration) {
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil { // the thread has ended
+			continue
+		}
+		if fields := strings.Fields(string(text)); len(fields) > 1 {
+			nanoseconds, _ := strconv.ParseInt(fields[1], 10, 64)
+			sum += time.Duration(nanoseconds)
+		}
+	}
+	return sum
+}
+
+// netstatFile has the counters of the machine's network.
+const netstatFile = "/proc/net/netstat"
+
+// listenerOverflows is how many connections listeners of this machine have dropped since it started; 0 where that is not
+// known.
+func listenerOverflows() int {
+	text, err := os.ReadFile(netstatFile)
+	if err != nil {
+		return 0
+	}
+	var names []string
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Fields(line)
+		if len(fields) == 0 || fields[0] != "TcpExt:" {
+			continue
+		}
+		if names == nil {
+			names = fields
+			continue
+		}
+		for i, name := range names {
+			if name == "ListenOverflows" && i < len(fields) {
+				n, _ := strconv.Atoi(fields[i])
+				return n
+			}
+		}
+	}
+	return 0
+}
--- a/internal/drill/files.go
+++ b/internal/drill/files.go
@@ -68,7 +68,7 @@
 	fmt.Fprintf(&s, "boxes: {file: boxes.yaml, drain-grace: %v, cold: {share: %g, time: %v}, overload: {factor: %d, time: %v}}\n",
 		drainGrace, slowStartShare, slowStartTime, overloadFactor, overloadTime)
 	s.WriteString("load: {via: answers, fields: [{name: named_metrics.in_flight, is: in-flight}, {name: cpu_utilization, is: utilization}]}\n")
-	s.WriteString("attempts: {most: 3}\n")
+	s.WriteString("attempts: {most: 3}\nlog: {level: debug}\n")
 	fmt.Fprintf(&s, "keeper: {address: %q, timeout: 80ms, price: 0.02}\n", counterAddr)
 	return s.String()
 }
--- a/internal/drill/traffic.go
+++ b/internal/drill/traffic.go
@@ -96,9 +96,13 @@
 	r.SentAt = d.now()
 	d.auditor.RequestSent(*r)
 	d.mu.Unlock()
-	ending, responses := client.call([]byte(requestText(r, class, attempt)), class.method, d.origin.Add(r.SentAt+r.Timeout))
+	var times callTimes
+	ending, responses := client.call([]byte(requestText(r, class, attempt)), class.method, d.origin.Add(r.SentAt+r.Timeout), &times)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if ending == invariant.ClientTimedOut || ending == invariant.ConnectionBroken {
+		d.unanswered = append(d.unanswered, d.unansweredRequest(r, ending, &times))
+	}
 	d.auditor.RequestEnded(invariant.Outcome{ID: r.ID, Ending: ending, At: d.now(), Responses: responses})
 	return ending
 }
--- a/internal/server/accept.go
+++ b/internal/server/accept.go
@@ -84,6 +84,9 @@
 		conn.Close()
 		return
 	}
+	if s.debug {
+		s.log.Debug("client connected", "client", conn.RemoteAddr().String())
+	}
 	s.clientsMu.Lock()
 	s.clients[cc] = struct{}{}
 	s.clientsMu.Unlock()
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -56,7 +56,8 @@
 			s.carryOutEffects()
 			batch[i] = nil // the array is used again: what it holds would not be freed
 		}
-		if s.instance.NextTimer() <= now {
+		if due := s.instance.NextTimer(); due <= now {
+			s.noteLateness(now - due)
 			s.instance.Tick(now)
 			s.carryOutEffects()
 		}
@@ -136,11 +137,23 @@
 
 func (s *Server) logResponse(exchange *proxy.Exchange) {
 	if s.debug {
-		s.log.Debug("answer", "request", exchange.ID, "operation", exchange.Operation.ID, "studio", exchange.Customer.Name,
+		s.log.Debug("answer", "request", exchange.ID, "client", exchange.Owner.(*clientConn).socket.conn.RemoteAddr().String(), "operation", exchange.Operation.ID, "studio", exchange.Customer.Name,
 			"status", exchange.Status, "ms", float64((s.now()-exchange.Arrived).Microseconds())/1000)
 	}
 }
 
+// notableLateness is how late a timer has to be for a log record: some times what the scheduler of a machine with a free
+// processor takes.
+const notableLateness = 20 * time.Millisecond
+
+// noteLateness keeps the greatest lateness of the event loop: by it a late instance can be told from late clients.
+func (s *Server) noteLateness(late time.Duration) {
+	s.maxLateness = max(s.maxLateness, late)
+	if s.debug && late >= notableLateness {
+		s.log.Debug("event loop late", "ms", late.Milliseconds())
+	}
+}
+
 // logAttemptDuringShutdown logs by which endpoint list an attempt begins after the signal to stop: an instance that ends
 // must go by a list that is followed to the last attempt.
 func (s *Server) logAttemptDuringShutdown(effect proxy.Effect) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -61,8 +61,9 @@
 	recorder         *recorder      // nil: nothing is recorded
 
 	// instance and counter belong to the event loop from the start of Serve on.
-	instance *proxy.Instance
-	counter  *counterConn // nil: there is no connection, not even one that is being made
+	instance    *proxy.Instance
+	counter     *counterConn  // nil: there is no connection, not even one that is being made
+	maxLateness time.Duration // of the event loop's timers
 	// What discovery has confirmed last, and when on the instance's clock; 0: nothing yet. For the log.
 	endpointsVersion     uint64
 	endpointsConfirmedAt time.Duration
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -123,5 +123,6 @@
 	st := s.instance.Stats
 	s.log.Info("stopped", "arrived", st.Arrived, "served", st.Served, "refused_quota", st.RejectedOverQuota,
 		"refused_room", st.RejectedNoCapacity, "failed", st.Failed, "left", st.ClientsLeft, "broken", st.BrokenResponses,
-		"attempts", st.Attempts, "dials", st.Dials, "expiries", s.expiredReads.Load(), "keeper_calls", st.CounterCalls)
+		"attempts", st.Attempts, "dials", st.Dials, "expiries", s.expiredReads.Load(), "keeper_calls", st.CounterCalls,
+		"max_late_ms", s.maxLateness.Milliseconds())
 }
