A soak of process ends: sandyard-drill soak plays and checks shutdowns drawn from seeds

Need: the faults of a shutdown were found by reading or by chance; no test let a drain, a silent backend or a second signal fall into one. Change: internal/soak plays an instance of "sandyard node" on loopback with stand-ins of discovery, backends and counter; a seed draws signals in series, changes of the list, faults of watches and backends, clients that rest, leave or stall, and for a quarter of the seeds a crowd that fills the descriptors; SIGKILL comes at the platform's earliest. Checks are strict; a time limit passed by no more than the machine was late at that moment is reported apart. How late processes run moved from the drill into internal/lateness, which both use.

--- a/internal/cli/program.go
+++ b/internal/cli/program.go
@@ -18,6 +18,8 @@
 	Fine    = 0
 	Failure = 1 // the work was done and its outcome is bad, or it could not be done
 	Usage   = 2 // the command line is wrong, or a file that is checked with its places
+	// NotPlayed: a run could not be played, or not be judged.
+	NotPlayed = 2
 	// OtherCore: the tool's core is not that of what it was given.
 	OtherCore = 3
 )
@@ -47,6 +49,9 @@
 	switch err := ctx.Run(); {
 	case err == nil:
 		return Fine
+	case errors.Is(err, errNotPlayed):
+		fmt.Fprintln(errs, name+":", err)
+		return NotPlayed
 	case errors.As(err, &coreid.Mismatch{}):
 		fmt.Fprintln(errs, name+":", err)
 		return OtherCore
--- /dev/null
+++ b/internal/cli/soak.go
@@ -0,0 +1,96 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os/signal"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sync/errgroup"
+
+	"sandyard/internal/soak"
+)
+
+// errNotPlayed is a run that could not be played, or whose machine was too late for what it shows.
+var errNotPlayed = errors.New("not played")
+
+// soakArgs is "sandyard-drill soak".
+type soakArgs struct {
+	Seeds   string `default:"1-20" help:"Seeds, as FROM-TO."`
+	Workers int    `default:"1" help:"Runs side by side."`
+	Keep    string `type:"path" help:"Keep the instances' logs and files in this folder." placeholder:"DIR"`
+	output
+}
+
+// soakTotals are what came of the seeds so far.
+type soakTotals struct {
+	played, broken, notPlayed int
+}
+
+// add counts a run.
+func (t *soakTotals) add(report soak.Report) {
+	t.played++
+	if len(report.Violations) > 0 {
+		t.broken++
+	} else if len(report.Unjudged) > 0 {
+		t.notPlayed++
+	}
+}
+
+// err is the command's outcome.
+func (t *soakTotals) err() error {
+	switch {
+	case t.broken > 0:
+		return fmt.Errorf("%d seeds broke a rule", t.broken)
+	case t.notPlayed > 0:
+		return fmt.Errorf("%w: %d seeds", errNotPlayed, t.notPlayed)
+	}
+	return nil
+}
+
+// Run plays the seeds, and prints a line for each as it ends.
+func (a soakArgs) Run(c *Console) error {
+	first, last, err := parseSeeds(a.Seeds)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var totals soakTotals
+	var mu sync.Mutex // guards totals and the output
+	runs, ctx := errgroup.WithContext(ctx)
+	runs.SetLimit(max(1, a.Workers))
+	for seed := first; seed <= last && ctx.Err() == nil; seed++ {
+		runs.Go(func() error {
+			report, err := soak.Run(ctx, seed, soak.Options{Command: self, LogDir: a.Keep})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				totals.notPlayed++
+				_, err = fmt.Fprintln(c.Errs, err)
+				return err
+			}
+			totals.add(report)
+			return a.print(c, report)
+		})
+	}
+	if err := runs.Wait(); err != nil {
+		return err
+	}
+	if !a.json() {
+		fmt.Fprintf(c.Out, "%d seeds played, %d broke a rule, %d could not be played or judged\n", totals.played, totals.broken, totals.notPlayed)
+	}
+	return totals.err()
+}
+
+// print writes a run's line.
+func (a soakArgs) print(c *Console, report soak.Report) error {
+	if a.json() {
+		return json.NewEncoder(c.Out).Encode(report)
+	}
+	report.Print(c.Out)
+	return nil
+}
--- a/internal/drill/client.go
+++ b/internal/drill/client.go
@@ -96,6 +96,11 @@
 	}
 	times.written = time.Now()
 	conn.reader.Expect(method)
+	return c.readResponse(conn, times)
+}
+
+// readResponse reads the response to the request that was written.
+func (c *client) readResponse(conn *clientConn, times *callTimes) (e invariant.Ending, responses int) {
 	var r response
 	b := make([]byte, readBuffer)
 	for {
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sandyard/fault"
+	"sandyard/internal/lateness"
 	"sandyard/invariant"
 )
 
@@ -44,7 +45,7 @@
 	Faults     int      `json:"troubles"`
 
 	Unanswered       []UnansweredRequest `json:"unanswered"`         // also those that no rule asks an answer for
-	Lateness         []Lateness          `json:"lateness"`           // of the drill's own process
+	Lateness         []lateness.Delay    `json:"lateness"`           // of the drill's own process
 	ListenerOverflow int                 `json:"listener_overflows"` // of all listeners of this machine, during the drill
 }
 
@@ -73,8 +74,8 @@
 	surges         map[string]float64 // by plan or customer
 	requests       int
 	unanswered     []UnansweredRequest
-	lateness       latenessMonitor
-	processorWaits processorWaitMonitor
+	lateness       lateness.Monitor
+	processorWaits lateness.ProcessMonitor
 	customers      []*customer
 	backends       []*backend
 	replacements   int // backends started in place of others
@@ -125,7 +126,7 @@
 		return Report{}, err
 	}
 	overflows := listenerOverflows()
-	stopLateness, stopWaits := d.lateness.start(d.now), d.processorWaits.start(d)
+	stopLateness, stopWaits := d.lateness.Start(d.now), d.processorWaits.Start(d.now, d.instanceProcesses)
 	err := d.play(ctx)
 	d.stopAll()
 	stopLateness()
@@ -188,7 +189,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := Report{Verdict: d.auditor.Verdict(), Seed: d.options.Seed, Seconds: d.options.Seconds, Requests: d.requests, Exits: d.badExits,
-		Faults: len(d.options.Events), Unanswered: d.unanswered, Lateness: d.lateness.notable}
+		Faults: len(d.options.Events), Unanswered: d.unanswered, Lateness: d.lateness.Delays}
 	d.addInstanceRecords(r.Unanswered)
 	offered, served := 0.0, 0.0
 	for _, p := range r.Plans {
--- a/internal/drill/evidence.go
+++ b/internal/drill/evidence.go
@@ -62,7 +62,8 @@
 		u := &unanswered[i]
 		from := d.origin.Add(time.Duration(u.SentAt) * time.Millisecond)
 		until := d.origin.Add(time.Duration(u.EndedAt)*time.Millisecond + recordsMargin)
-		u.ProcessorWait = d.processorWaits.between(u.Instance, u.SentAt, u.EndedAt)
+		u.ProcessorWait = d.processorWaits.Between(u.Instance, time.Duration(u.SentAt)*time.Millisecond,
+			time.Duration(u.EndedAt)*time.Millisecond).Milliseconds()
 		u.InstanceRecords = logRecords(filepath.Join(d.dir, fmt.Sprintf("door-%d.log", u.Instance)), u.ClientAddr, from, until, d.origin)
 	}
 }
@@ -97,100 +98,6 @@
 	return time.Parse(time.RFC3339Nano, text)
 }
 
-// Lateness is a moment at which the drill's process came late, in milliseconds.
-type Lateness struct {
-	At   int64 `json:"at"` // since the drill began
-	Late int64 `json:"late"`
-}
-
-const (
-	// latenessTick is how often the drill looks at its own lateness.
-	latenessTick = 5 * time.Millisecond
-	// notableLateness is what is kept.
-	notableLateness = 20 * time.Millisecond
-)
-
-// latenessMonitor is a ticking goroutine that keeps when it ran late: by it late clients can be told from late instances.
-type latenessMonitor struct {
-	notable []Lateness // after stop
-}
-
-// start begins to watch; the function that it returns ends that.
-func (m *latenessMonitor) start(now func() time.Duration) (stop func()) {
-	quit, done := make(chan struct{}), make(chan struct{})
-	go func() { // ends with stop
-		defer close(done)
-		ticker := time.NewTicker(latenessTick)
-		defer ticker.Stop()
-		for last := now(); ; {
-			select {
-			case <-quit:
-				return
-			case <-ticker.C:
-			}
-			at := now()
-			if late := at - last - latenessTick; late >= notableLateness {
-				m.notable = append(m.notable, Lateness{At: at.Milliseconds(), Late: late.Milliseconds()})
-			}
-			last = at
-		}
-	}()
-	return func() { close(quit); <-done }
-}
-
-// processorWaitTick is how often it is looked at how long the instances' threads have waited for a processor.
-const processorWaitTick = 100 * time.Millisecond
-
-// processorWait is how long the threads of an instance have waited for a processor within a tick, in milliseconds: they
-// could run, and the machine ran others.
-type processorWait struct {
-	at       int64 // the end of the tick, since the drill began
-	instance int
-	waited   int64
-}
-
-// processorWaitMonitor watches the instances' processes: by it a machine that is too busy can be told from an instance that
-// is.
-type processorWaitMonitor struct {
-	waits []processorWait // after stop
-}
-
-// between adds up the waits of an instance that ended in a time.
-func (m *processorWaitMonitor) between(instance int, from, until int64) (sum int64) {
-	for _, wait := range m.waits {
-		if wait.instance == instance && wait.at >= from && wait.at <= until+processorWaitTick.Milliseconds() {
-			sum += wait.waited
-		}
-	}
-	return sum
-}
-
-// start begins to watch; the function that it returns ends that.
-func (m *processorWaitMonitor) start(d *Drill) (stop func()) {
-	quit, done := make(chan struct{}), make(chan struct{})
-	go func() { // ends with stop
-		defer close(done)
-		ticker := time.NewTicker(processorWaitTick)
-		defer ticker.Stop()
-		last := map[int]time.Duration{} // by process
-		for {
-			select {
-			case <-quit:
-				return
-			case <-ticker.C:
-			}
-			for instance, pid := range d.instanceProcesses() {
-				total := threadsWaited(pid)
-				if before, ok := last[pid]; ok && total > before {
-					m.waits = append(m.waits, processorWait{d.now().Milliseconds(), instance, (total - before).Milliseconds()})
-				}
-				last[pid] = total
-			}
-		}
-	}()
-	return func() { close(quit); <-done }
-}
-
 // instanceProcesses are the process numbers of the instances, in their order.
 func (d *Drill) instanceProcesses() (pids []int) {
 	d.mu.Lock()
@@ -201,23 +108,6 @@
 	return pids
 }
 
-// threadsWaited is how long the threads of a process have waited for a processor since they began; 0 where the kernel does
-// not tell.
-func threadsWaited(pid int) (sum time.Duration) {
-	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
-	for _, file := range files {
-		text, err := os.ReadFile(file)
-		if err != nil { // the thread has ended
-			continue
-		}
-		if fields := strings.Fields(string(text)); len(fields) > 1 {
-			nanoseconds, _ := strconv.ParseInt(fields[1], 10, 64)
-			sum += time.Duration(nanoseconds)
-		}
-	}
-	return sum
-}
-
 // netstatFile has the counters of the machine's network.
 const netstatFile = "/proc/net/netstat"
 
--- a/internal/drill/process.go
+++ b/internal/drill/process.go
@@ -37,7 +37,6 @@
 	exe, pre := d.command(program)
 	p := &process{name: name, cmd: exec.Command(exe, append(pre, args...)...), ready: make(chan readyLine, 1), done: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the drill
 	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, readyLine{}, err
@@ -51,7 +50,7 @@
 		pipe, err = p.cmd.StderrPipe()
 	}
 	if err == nil {
-		err = p.spawn()
+		err = Spawn(p.cmd)
 	}
 	if err != nil {
 		log.Close()
@@ -82,9 +81,11 @@
 	return c
 }()
 
-func (p *process) spawn() error {
+// Spawn starts a command that dies with this process.
+func Spawn(cmd *exec.Cmd) error {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	err := make(chan error, 1)
-	spawning <- func() { err <- p.cmd.Start() }
+	spawning <- func() { err <- cmd.Start() }
 	return <-err
 }
 
--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,175 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"sandyard/internal/lateness"
+)
+
+// The bounds of the checks, by the platform's rules.
+const (
+	socketSlack    = 50 * time.Millisecond  // by which time limits are longer on sockets
+	leftBound      = 100 * time.Millisecond // after its client left, for an attempt to begin
+	deadlineSlack  = 150 * time.Millisecond // of the time that an attempt tells its backend
+	readyBound     = 10 * time.Second
+	maxMemoryGrown = 16 << 20 // bytes, of an idle instance over its start
+	// disturbanceSpan is how long before and after a moment the lateness of the machine matters to it.
+	disturbanceSpan = 500 * time.Millisecond
+)
+
+// Violation is a broken rule.
+type Violation struct {
+	Rule    string        `json:"rule"`
+	Request string        `json:"request,omitempty"`
+	What    string        `json:"what"`
+	At      time.Duration `json:"at_ns"` // after the first SIGTERM
+	excess  time.Duration // by which a time limit was passed; 0: no time is involved
+}
+
+// judge checks a run's record and returns what is broken.
+func (r *run) judge() (violations []Violation) {
+	for _, req := range r.record.order {
+		violations = append(violations, r.checkAnswer(req)...)
+		violations = append(violations, r.checkAttempts(req)...)
+		violations = append(violations, r.checkEffects(req)...)
+	}
+	violations = append(violations, r.checkDrains()...)
+	return append(violations, r.checkProcess()...)
+}
+
+func (r *run) violation(rule string, req *request, at, excess time.Duration, format string, args ...any) Violation {
+	v := Violation{Rule: rule, What: fmt.Sprintf(format, args...), At: at - r.record.termAt, excess: excess}
+	if req != nil {
+		v.Request = req.id
+	}
+	return v
+}
+
+// checkAnswer: a request that was read gets one final answer.
+func (r *run) checkAnswer(req *request) (violations []Violation) {
+	const rule = "one final answer"
+	add := func(excess time.Duration, format string, args ...any) {
+		violations = append(violations, r.violation(rule, req, req.endedAt, excess, format, args...))
+	}
+	deadline := req.writtenAt + req.timeout + graceAfterDeadline
+	switch {
+	case req.extraResponses:
+		add(0, "more than one answer")
+	case req.status != 0 || req.leftAt > 0:
+	case req.cutAtKill:
+		add(socketSlack, "%s request unanswered at the kill, %v after it was written", req.class.name, req.endedAt-req.writtenAt)
+	case !req.connectionEnds:
+		add(max(1, req.endedAt-deadline+socketSlack), "%s request without an answer %v after it was written, its time is %v", req.class.name, req.endedAt-req.writtenAt, req.timeout)
+	case len(req.attempts) > 0:
+		add(0, "%s request was forwarded, and its connection ended without an answer", req.class.name)
+	case req.firstOfConn && r.plan.Crowd > 0: // new connections may be shut unread where idle clients fill the descriptors
+		r.record.unread++
+	case req.firstOfConn:
+		add(0, "%s request, the first of its connection, ended without an answer after %v", req.class.name, req.endedAt-req.writtenAt)
+	case req.endedAt-req.writtenAt > socketSlack: // sooner, the end of an idle connection may have crossed it
+		add(req.endedAt-req.writtenAt-socketSlack, "%s request was read, and its connection ended without an answer after %v", req.class.name, req.endedAt-req.writtenAt)
+	}
+	return violations
+}
+
+// checkAttempts: no attempt begins for a client that has left, nor tells its backend more time than is left.
+func (r *run) checkAttempts(req *request) (violations []Violation) {
+	for _, attempt := range req.attempts {
+		at := attempt.firstByteAt
+		if late := at - req.leftAt - leftBound - socketSlack; req.leftAt > 0 && late > 0 {
+			violations = append(violations, r.violation("no attempt for a client that left", req, at, late,
+				"an attempt at backend %d began %v after the client left", attempt.backend, at-req.leftAt))
+		}
+		if over := at + attempt.deadline - (req.writtenAt + req.timeout + deadlineSlack); req.writtenAt > 0 && over > 0 {
+			violations = append(violations, r.violation("no more time than is left", req, at, over,
+				"backend %d is told %v, %v is left", attempt.backend, attempt.deadline, req.writtenAt+req.timeout-at))
+		}
+	}
+	return violations
+}
+
+// checkEffects: what must not run twice runs once at most, and not at all where the client was promised that.
+func (r *run) checkEffects(req *request) (violations []Violation) {
+	if req.class.semantics != "fragile" {
+		return nil
+	}
+	runs := 0
+	for _, attempt := range req.attempts {
+		if attempt.runs {
+			runs++
+		}
+	}
+	if runs > 1 {
+		violations = append(violations, r.violation("unsafe work once", req, req.endedAt, 0, "it ran %d times", runs))
+	}
+	if runs > 0 && (req.status == 429 || req.status == 503) {
+		violations = append(violations, r.violation("unsafe work once", req, req.endedAt, 0, "it ran, and the client was told %d", req.status))
+	}
+	return violations
+}
+
+// checkDrains: no attempt begins at a backend later than its grace after the notice.
+func (r *run) checkDrains() (violations []Violation) {
+	for _, notice := range r.record.notices {
+		for _, req := range r.record.order {
+			for _, attempt := range req.attempts {
+				late := attempt.firstByteAt - notice.notifiedAt - drainGrace - socketSlack
+				if attempt.backend == notice.Backend && late > 0 {
+					violations = append(violations, r.violation("drains kept", req, attempt.firstByteAt, late,
+						"an attempt at backend %d, which %s, began %v after the notice", notice.Backend, notice.Kind, attempt.firstByteAt-notice.notifiedAt))
+				}
+			}
+		}
+	}
+	return violations
+}
+
+// checkProcess: the process is ready in time, does not crash, ends by itself, and gives back what it took.
+func (r *run) checkProcess() (violations []Violation) {
+	record, facts := r.record, &r.record.instance
+	add := func(rule string, excess time.Duration, format string, args ...any) {
+		violations = append(violations, r.violation(rule, nil, record.endedAt, excess, format, args...))
+	}
+	if record.readyTime > readyBound {
+		add("ready in time", record.readyTime-readyBound, "ready after %v", record.readyTime)
+	}
+	if facts.crash != "" {
+		add("no crash", 0, "%s", facts.crash)
+	} else if facts.exit != nil {
+		add("no crash", 0, "it ended with %v", facts.exit)
+	}
+	if record.killedAt > 0 {
+		add("ends by itself", socketSlack, "it still ran at the kill, %v after SIGTERM", record.killedAt-record.termAt)
+	}
+	if facts.idleExcess > 0 {
+		add("idle as at the start", 0, "%d descriptors more than at the start", facts.idleExcess)
+	}
+	if facts.memoryGrown > maxMemoryGrown {
+		add("idle as at the start", 0, "%d MiB more than at the start", facts.memoryGrown>>20)
+	}
+	if len(record.unknown) > 0 {
+		add("requests pass unchanged", 0, "backends received identities that no client sent: %s", strings.Join(record.unknown, ", "))
+	}
+	if r.extraBytes > 0 {
+		add("one final answer", 0, "%d idle connections brought bytes that nobody asked for", r.extraBytes)
+	}
+	return violations
+}
+
+// split parts violations from those of a time limit that was passed by no more than this process ran late, or the instance's
+// threads waited for a processor, about that moment: those can't be laid to the instance.
+func (r *run) split(violations []Violation) (broken, unjudged []Violation) {
+	unjudged = slices.DeleteFunc(slices.Clone(violations), func(v Violation) bool { return !r.isUnjudged(v) })
+	broken = slices.DeleteFunc(violations, r.isUnjudged)
+	return broken, unjudged
+}
+
+func (r *run) isUnjudged(v Violation) bool {
+	at := v.At + r.record.termAt
+	from, until := at-disturbanceSpan, at+disturbanceSpan
+	disturbance := max(lateness.Worst(r.own.Delays, from, until), lateness.Worst(r.waits.Waits[0], from, until))
+	return v.excess > 0 && v.excess <= disturbance
+}
--- /dev/null
+++ b/internal/soak/events.go
@@ -0,0 +1,206 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Times of the checks of an idle instance.
+const (
+	idleTraffic     = 700 * time.Millisecond // before clients pause
+	idleWait        = 4 * time.Second        // for idle connections to be closed: their time, and the instance's sweep of them
+	idlePoll        = 50 * time.Millisecond
+	idleDescriptors = 2 // more than at the start that an idle instance may have: watch and counter, which may have come later
+	leaveOutDelay   = 100 * time.Millisecond
+	silenceCounts   = 6 * time.Second // after which a silent watch's changes count as told
+	moveCounts      = 4 * time.Second // after SIGHUP, after which a change counts as told
+)
+
+// event is something of the plan with its time, from the first SIGTERM on.
+type event struct {
+	at   time.Duration
+	play func()
+}
+
+// events are the plan's until the kill, in the order of their times.
+func (r *run) events() []event {
+	var events []event
+	add := func(at time.Duration, play func()) { events = append(events, event{at, play}) }
+	for _, signal := range r.plan.Signals {
+		add(signal.At, func() { r.signal(signal.Signal) })
+	}
+	for _, change := range r.plan.Changes {
+		add(change.At, func() { r.discovery.change(change, r.notifiedAtLatest()) })
+		if change.Kind == DrainOut {
+			add(change.At+leaveOutDelay, func() { r.discovery.leaveOut(change.Backend) })
+		}
+	}
+	for _, fault := range r.plan.Faults {
+		add(fault.At, func() { r.backends[fault.Backend].setFault(fault.Kind) })
+	}
+	switch r.plan.Watch {
+	case WatchBreaks:
+		add(r.plan.WatchFaultAt, r.discovery.breakWatches)
+	case WatchSilent:
+		add(r.plan.WatchFaultAt, func() {
+			r.discovery.silenceWatches()
+			now := r.record.now()
+			r.record.update(func() { r.silentSince = now })
+		})
+	}
+	for _, at := range r.plan.Stalled {
+		add(at, r.startStalledClient)
+	}
+	add(r.plan.CounterSilentAt, func() { r.counter.silent.Store(true) })
+	events = slices.DeleteFunc(events, func(e event) bool { return e.at >= r.plan.KillAt() })
+	slices.SortStableFunc(events, func(a, b event) int { return int(a.at - b.at) })
+	return events
+}
+
+// notifiedAtLatest is when a change of this moment counts as told, whether or not it arrived.
+func (r *run) notifiedAtLatest() time.Duration {
+	r.record.mu.Lock()
+	defer r.record.mu.Unlock()
+	notified := r.record.now()
+	if r.silentSince > 0 {
+		notified = max(notified, r.silentSince+silenceCounts)
+	}
+	if r.movedAt > 0 {
+		notified = max(notified, r.movedAt+moveCounts)
+	}
+	return notified
+}
+
+// signal sends a signal. The first SIGHUP moves discovery and counter, if the plan says so; the first SIGTERM begins the
+// time of the plan.
+func (r *run) signal(signal syscall.Signal) {
+	now := r.record.now()
+	if signal == syscall.SIGTERM {
+		r.record.update(func() {
+			if r.record.termAt == 0 {
+				r.record.termAt = now
+			}
+		})
+	}
+	if signal == syscall.SIGHUP && r.plan.MovesAtReload && r.movedAt == 0 {
+		r.record.update(func() { r.movedAt = now })
+		r.discovery.move()
+		r.writeConfig(1)
+	}
+	r.process.cmd.Process.Signal(signal)
+}
+
+// playEvents plays events at their times. The first SIGTERM comes the plan's warm-up after now, or as much later as what
+// comes before it needs.
+func (r *run) playEvents(ctx context.Context, events []event) {
+	origin := time.Now().Add(r.plan.Warmup)
+	for _, event := range events {
+		at := origin.Add(event.at)
+		if r.plan.Warmup == 0 && event.at < 0 { // just after ready: what would come before comes at once
+			at = time.Now()
+		}
+		select {
+		case <-time.After(time.Until(at)):
+		case <-ctx.Done():
+			return
+		case <-r.process.done:
+			return
+		}
+		event.play()
+	}
+}
+
+// endProcess waits for the end of the process, and kills it at the plan's time.
+func (r *run) endProcess() {
+	killAt := r.record.origin.Add(r.record.termAt + r.plan.KillAt())
+	select {
+	case <-r.process.done:
+	case <-time.After(time.Until(killAt)):
+		now := r.record.now()
+		r.record.update(func() { r.record.killedAt = now })
+		r.process.kill()
+	}
+	now := r.record.now()
+	r.record.update(func() {
+		r.record.endedAt = now
+		if r.record.killedAt == 0 {
+			r.record.instance.exit = r.process.err
+		}
+		r.record.instance.crash = r.process.crash()
+	})
+}
+
+// startCrowd opens the plan's idle connections; the function that it returns closes them.
+func (r *run) startCrowd() (stop func()) {
+	var conns []net.Conn
+	for range r.plan.Crowd {
+		if conn, err := net.DialTimeout("tcp", r.instanceAddress, connectTimeout); err == nil {
+			conns = append(conns, conn)
+		}
+	}
+	return func() {
+		for _, conn := range conns {
+			conn.Close()
+		}
+	}
+}
+
+// startStalledClient opens a connection on which a request begins and does not go on, until the connection ends.
+func (r *run) startStalledClient() {
+	conn, err := net.DialTimeout("tcp", r.instanceAddress, connectTimeout)
+	if err != nil {
+		return
+	}
+	io.WriteString(conn, "GET /api?client=0000000000000001 HTTP/1.1\r\nHost: soak\r\n")
+	go func() { // ends with the connection, and so with the process
+		defer conn.Close()
+		io.Copy(io.Discard, conn)
+	}()
+}
+
+// checkIdle lets clients send for a while, pauses them, and notes what an idle instance has not given back.
+func (r *run) checkIdle(pid int) {
+	descriptors, memory := openDescriptors(pid), residentBytes(pid)
+	time.Sleep(idleTraffic)
+	r.paused.Store(true)
+	defer r.paused.Store(false)
+	excess := 0
+	for until := time.Now().Add(idleWait); time.Now().Before(until); time.Sleep(idlePoll) {
+		if excess = openDescriptors(pid) - descriptors - idleDescriptors - r.plan.Clients - r.plan.Resting; excess <= 0 {
+			break
+		}
+	}
+	r.record.update(func() {
+		r.record.instance.idleExcess = max(0, excess)
+		r.record.instance.memoryGrown = residentBytes(pid) - memory
+	})
+}
+
+// openDescriptors is how many descriptors a process has open.
+func openDescriptors(pid int) int {
+	entries, _ := os.ReadDir(filepath.Join("/proc", strconv.Itoa(pid), "fd"))
+	return len(entries)
+}
+
+// residentBytes is a process's resident memory.
+func residentBytes(pid int) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
--- /dev/null
+++ b/internal/soak/instance.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"sandyard/internal/drill"
+)
+
+// instanceProcess is the process of the instance.
+type instanceProcess struct {
+	cmd     *exec.Cmd
+	logFile string
+	done    chan struct{} // closed with its end
+	err     error         // after that
+}
+
+// startInstance starts the instance and waits until it is ready.
+func (r *run) startInstance() (*instanceProcess, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free now
+	if err != nil {
+		return nil, err
+	}
+	r.instanceAddress = listener.Addr().String()
+	listener.Close()
+	if err := r.writeConfig(0); err != nil {
+		return nil, err
+	}
+	exe, args := r.options.Command("sandyard")
+	p := &instanceProcess{cmd: exec.Command(exe, append(args, "node")...), logFile: filepath.Join(r.dir, "instance.log"), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), "NODE_CONFIG="+r.configFile())
+	log, err := os.Create(p.logFile)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	p.cmd.Stderr = log
+	started := time.Now()
+	if err := drill.Spawn(p.cmd); err != nil {
+		return nil, err
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	if err := r.waitForReady(p, started); err != nil {
+		p.kill()
+		return nil, err
+	}
+	r.record.readyTime = time.Since(started)
+	return p, nil
+}
+
+// waitForReady asks until the instance says that it is ready. One that takes much longer than it may is an error.
+func (r *run) waitForReady(p *instanceProcess, started time.Time) error {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: readyBound}
+	for time.Since(started) < 2*readyBound {
+		select {
+		case <-p.done:
+			return fmt.Errorf("the instance ended before it was ready: %v; see %s", p.err, p.logFile)
+		default:
+		}
+		response, err := client.Get("http://" + r.instanceAddress + "/ready")
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == 200 {
+				return nil
+			}
+		}
+		time.Sleep(retryPause)
+	}
+	return fmt.Errorf("the instance is not ready after %v", 2*readyBound)
+}
+
+func (p *instanceProcess) kill() {
+	p.cmd.Process.Kill()
+	<-p.done
+}
+
+// crash is the first line of a panic or of another fatal error in the log; "" if there is none.
+func (p *instanceProcess) crash() string {
+	text, _ := os.ReadFile(p.logFile)
+	for text := range strings.SplitSeq(string(text), "\n") {
+		if strings.HasPrefix(text, "panic:") || strings.HasPrefix(text, "fatal error:") {
+			return strings.TrimSpace(text)
+		}
+	}
+	return ""
+}
+
+func (r *run) configFile() string { return filepath.Join(r.dir, "config.json") }
+
+// object is a JSON object of the platform's configuration.
+type object = map[string]any
+
+// writeConfig replaces the configuration; moved is the number of the addresses of discovery and counter.
+func (r *run) writeConfig(moved int) error {
+	sockets := plainSockets
+	if r.plan.Crowd > 0 {
+		sockets = crowdSockets
+	}
+	var services []object
+	for _, c := range classes {
+		services = append(services, object{"name": c.name, "semantics": c.semantics, "key-ttl-ms": keyTTL.Milliseconds(), "aim-ms": c.objective.Milliseconds(),
+			"deadline-ms": int64(c.deadlineShare * float64(r.plan.LongestDeadline.Milliseconds())), "value": 1})
+	}
+	r.discovery.mu.Lock()
+	known := endpointMessage{Full: true, Hosts: r.discovery.current}
+	text, err := json.Marshal(object{
+		"name": "soak", "listen": r.instanceAddress, "discovery": r.discovery.address(moved), "counter": r.counter.address(moved),
+		"seed": fmt.Sprintf("%x", r.plan.Seed), "limits": object{"cores": 1, "memory_mb": 64, "sockets": sockets}, "known": known,
+		"settings": object{
+			"me": 0, "peers-total": 1, "services": services,
+			"limits":    object{"max-attempts": 3, "retry-after": true, "cancel": r.plan.MayCancel, "conn-idle-ms": idleConnTime.Milliseconds(), "connect-timeout-ms": 200},
+			"rules":     object{"drain-grace-ms": drainGrace.Milliseconds()},
+			"specifics": object{"shared-counter": true, "count-limit-ms": 50, "units-top": 6},
+			"plans":     []object{{"name": "team", "refill": 10000, "store-size": 10000}},
+		},
+	})
+	r.discovery.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(r.configFile()+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(r.configFile()+".new", r.configFile())
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// What a run is made of. Times of a plan count from the first SIGTERM.
+const (
+	backendCount  = 5
+	drainGrace    = 200 * time.Millisecond
+	killDelay     = 700 * time.Millisecond // of the earliest SIGKILL, beside the longest deadline
+	longestCounts = 3 * time.Second        // as which a longer deadline counts there
+	idleConnTime  = 500 * time.Millisecond // after which a backend closes an idle connection
+	plainSockets  = 640                    // descriptors of the instance
+	crowdSockets  = 64                     // with a crowd
+	crowdSize     = 3 * crowdSockets       // idle clients of a crowd
+)
+
+// Plan is what one run plays. The same seed draws the same plan.
+type Plan struct {
+	Seed            uint64
+	LongestDeadline time.Duration // of the classes
+	MayCancel       bool          // the instance may cancel attempts
+	Warmup          time.Duration // from ready until the first SIGTERM
+	Signals         []Signal
+	NewConnections  time.Duration // until which new connections come
+	Clients         int
+	LeaveShare      float64         // of the requests whose clients leave
+	Resting         int             // further clients that rest between requests for longer
+	Crowd           int             // idle clients
+	Stalled         []time.Duration // when a client connects that stops in the middle of a request and stays
+	Changes         []Change
+	Watch           WatchFault
+	WatchFaultAt    time.Duration
+	Faults          []BackendFault
+	MovesAtReload   bool // SIGHUP moves discovery and counter
+	CounterSilentAt time.Duration
+	ChecksIdle      bool // before SIGTERM it is checked that an idle instance gives back what it took
+}
+
+// Signal is sent to the instance at a time.
+type Signal struct {
+	At     time.Duration
+	Signal syscall.Signal
+}
+
+// ChangeKind is how a backend leaves the endpoint list.
+type ChangeKind string
+
+// The kinds of changes.
+const (
+	Drains   ChangeKind = "drains"
+	Removed  ChangeKind = "is removed"
+	LeftOut  ChangeKind = "is left out of a whole list"
+	DrainOut ChangeKind = "drains and is left out of a whole list"
+)
+
+// Change takes a backend off the endpoint list.
+type Change struct {
+	At      time.Duration
+	Backend int
+	Kind    ChangeKind
+}
+
+// WatchFault is what becomes of the watches that are open.
+type WatchFault string
+
+// The faults of watches.
+const (
+	NoWatchFault WatchFault = ""
+	WatchBreaks  WatchFault = "breaks"
+	WatchSilent  WatchFault = "falls silent"
+)
+
+// FaultKind is what a backend does with requests.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	Hang   FaultKind = "hangs"
+	Reset  FaultKind = "resets"
+	NotRun FaultKind = "rejects"
+	Slow   FaultKind = "is slow"
+)
+
+// BackendFault is a backend's behaviour from a time on, to the end.
+type BackendFault struct {
+	At      time.Duration
+	Backend int
+	Kind    FaultKind
+}
+
+// KillAt is when SIGKILL comes: at the earliest that the platform allows.
+func (p *Plan) KillAt() time.Duration {
+	return min(p.LongestDeadline, longestCounts) + killDelay
+}
+
+// planStream keeps the draws of a plan apart from those of its clients.
+const planStream = 1
+
+// Draw draws the plan of a seed.
+func Draw(seed uint64) *Plan {
+	rng := rand.New(rand.NewPCG(seed, planStream))
+	p := &Plan{
+		Seed:            seed,
+		LongestDeadline: []time.Duration{600, 1000, 1500, 3500}[rng.IntN(4)] * time.Millisecond,
+		MayCancel:       rng.IntN(4) > 0,
+		Warmup:          between(rng, 300*time.Millisecond, 1200*time.Millisecond),
+		NewConnections:  between(rng, 200*time.Millisecond, 400*time.Millisecond),
+		Clients:         6 + rng.IntN(10),
+		Resting:         rng.IntN(16),
+		LeaveShare:      0.1 * rng.Float64(),
+		CounterSilentAt: between(rng, -200*time.Millisecond, 4*time.Second),
+	}
+	for range rng.IntN(3) {
+		p.Stalled = append(p.Stalled, between(rng, -500*time.Millisecond, p.NewConnections))
+	}
+	p.drawSignals(rng)
+	p.drawChanges(rng)
+	p.drawFaults(rng)
+	if rng.IntN(4) == 0 {
+		p.Crowd = crowdSize
+	}
+	p.ChecksIdle = p.Crowd == 0 && p.Warmup > 0 && rng.IntN(4) == 0
+	return p
+}
+
+// drawSignals draws one of the series of signals.
+func (p *Plan) drawSignals(rng *rand.Rand) {
+	term := Signal{0, syscall.SIGTERM}
+	reloadAt := func(from, to time.Duration) Signal { return Signal{between(rng, from, to), syscall.SIGHUP} }
+	switch rng.IntN(6) {
+	case 0:
+		p.Signals = []Signal{term}
+	case 1:
+		p.Signals = []Signal{term, {between(rng, 0, time.Second), syscall.SIGTERM}}
+	case 2:
+		p.Signals = []Signal{reloadAt(-50*time.Millisecond, 0), term}
+	case 3:
+		p.Signals = []Signal{term, reloadAt(0, 600*time.Millisecond)}
+	case 4:
+		p.Signals = []Signal{reloadAt(-300*time.Millisecond, -200*time.Millisecond), reloadAt(-200*time.Millisecond, -100*time.Millisecond),
+			reloadAt(-100*time.Millisecond, 0), term}
+	case 5: // just after ready
+		p.Signals = []Signal{term}
+		p.Warmup = 0
+	}
+	p.MovesAtReload = rng.IntN(2) == 0
+}
+
+// drawChanges draws which backends leave the endpoint list, about the time of SIGTERM, and what becomes of the watches. Two
+// backends stay.
+func (p *Plan) drawChanges(rng *rand.Rand) {
+	kinds := []ChangeKind{Drains, Drains, Removed, LeftOut, DrainOut}
+	for backend := range 1 + rng.IntN(backendCount-2) {
+		at := between(rng, -200*time.Millisecond, 500*time.Millisecond)
+		p.Changes = append(p.Changes, Change{at, backend, kinds[rng.IntN(len(kinds))]})
+	}
+	p.Watch = []WatchFault{NoWatchFault, NoWatchFault, WatchBreaks, WatchSilent}[rng.IntN(4)]
+	p.WatchFaultAt = between(rng, -400*time.Millisecond, 300*time.Millisecond)
+}
+
+// drawFaults draws what backends do. A backend that leaves the list may have a fault as well.
+func (p *Plan) drawFaults(rng *rand.Rand) {
+	kinds := []FaultKind{Hang, Hang, Reset, NotRun, Slow}
+	for range rng.IntN(4) {
+		at := between(rng, -500*time.Millisecond, 500*time.Millisecond)
+		p.Faults = append(p.Faults, BackendFault{at, rng.IntN(backendCount), kinds[rng.IntN(len(kinds))]})
+	}
+}
+
+func between(rng *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(rng.Float64()*float64(to-from))
+}
+
+// String tells the plan.
+func (p *Plan) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "longest deadline %v, cancel %v, warm-up %v, %d clients, %d resting, crowd %d, new connections for %v, kill at %v",
+		p.LongestDeadline, p.MayCancel, p.Warmup, p.Clients, p.Resting, p.Crowd, p.NewConnections, p.KillAt())
+	for _, at := range p.Stalled {
+		fmt.Fprintf(&b, "; a client stalls at %v", at)
+	}
+	for _, signal := range p.Signals {
+		fmt.Fprintf(&b, "; %v at %v", signal.Signal, signal.At)
+	}
+	if p.MovesAtReload {
+		b.WriteString(" (SIGHUP moves discovery and counter)")
+	}
+	for _, change := range p.Changes {
+		fmt.Fprintf(&b, "; backend %d %s at %v", change.Backend, change.Kind, change.At)
+	}
+	for _, fault := range p.Faults {
+		fmt.Fprintf(&b, "; backend %d %s from %v on", fault.Backend, fault.Kind, fault.At)
+	}
+	if p.Watch != NoWatchFault {
+		fmt.Fprintf(&b, "; the watch %s at %v", p.Watch, p.WatchFaultAt)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,214 @@
+// Package soak plays ends of a process on a real one: an instance of "sandyard node" on loopback, with stand-ins of
+// discovery, backends and counter, clients that go on using open connections until SIGKILL, signals in series, and changes,
+// silent watches and hanging backends that fall into the shutdown. What crossed the sockets is checked against the rules of
+// the platform.
+//
+// A plan is drawn from a seed alone (plan.go). Checks are strict (check.go). A time limit that was passed by no more than the
+// machine itself ran late at that moment is reported apart, and the run does not count as played.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sandyard/internal/lateness"
+)
+
+// Options say how runs are played.
+type Options struct {
+	// Command says how to run "sandyard".
+	Command func(program string) (exe string, args []string)
+	// LogDir keeps the logs and configurations; empty: a temporary folder that is removed.
+	LogDir string
+}
+
+// Report is what a run has shown.
+type Report struct {
+	Seed       uint64      `json:"seed"`
+	Requests   int         `json:"requests"`
+	Served     int         `json:"served"`
+	Attempts   int         `json:"attempts"`
+	Late       int         `json:"attempts_after_sigterm"`
+	Refused    int         `json:"connections_refused"`
+	Unread     int         `json:"connections_unread"` // new ones that ended without an answer, with a crowd
+	EndedAfter float64     `json:"ended_after_s"`      // SIGTERM
+	OwnDelay   int64       `json:"own_delay_ms"`       // greatest of this process
+	Waited     int64       `json:"waited_ms"`          // of the instance's threads for a processor, all together
+	Violations []Violation `json:"violations"`
+	Unjudged   []Violation `json:"unjudged"` // no later than the machine ran at that moment
+	Plan       string      `json:"plan"`
+}
+
+// run is a run in progress.
+type run struct {
+	plan            *Plan
+	record          *record
+	options         Options
+	dir             string
+	instanceAddress string
+	discovery       *discovery
+	counter         *counter
+	backends        []*backend
+	backendsEnded   chan struct{}
+	process         *instanceProcess
+	ended           atomic.Bool // no request is sent any more
+	paused          atomic.Bool // clients send nothing for now
+	own             lateness.Monitor
+	waits           lateness.ProcessMonitor
+
+	// The record's lock guards these.
+	extraBytes  int           // idle connections that brought bytes
+	silentSince time.Duration // since when watches are silent; 0: they are not
+	movedAt     time.Duration // when discovery and counter moved; 0: they have not
+}
+
+// Run plays the plan of a seed. The error is one of the run itself: it could not be played.
+func Run(ctx context.Context, seed uint64, options Options) (Report, error) {
+	r := &run{plan: Draw(seed), record: newRecord(), options: options, dir: options.LogDir, backendsEnded: make(chan struct{})}
+	if r.dir == "" {
+		dir, err := os.MkdirTemp("", "sandyard-soak-")
+		if err != nil {
+			return Report{}, err
+		}
+		defer os.RemoveAll(dir)
+		r.dir = dir
+	}
+	r.dir = filepath.Join(r.dir, fmt.Sprint(seed))
+	if err := os.MkdirAll(r.dir, 0o700); err != nil {
+		return Report{}, err
+	}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return Report{}, fmt.Errorf("seed %d: %w", seed, err)
+	}
+	if err := r.play(ctx); err != nil {
+		return Report{}, fmt.Errorf("seed %d: %w", seed, err)
+	}
+	return r.report(), nil
+}
+
+// start starts the stand-ins and the instance, and waits until that is ready.
+func (r *run) start() error {
+	var hosts []endpointEntry
+	for i := range backendCount {
+		backend, err := startBackend(i, r.record, r.backendsEnded)
+		if err != nil {
+			return err
+		}
+		r.backends = append(r.backends, backend)
+		hosts = append(hosts, endpointEntry{Host: fmt.Sprintf("backend-%d", i), Dial: backend.listener.Addr().String(), Health: "active", Share: 1})
+	}
+	var err error
+	if r.discovery, err = startDiscovery(r.record, hosts); err != nil {
+		return err
+	}
+	if r.counter, err = startCounter(); err != nil {
+		return err
+	}
+	r.process, err = r.startInstance()
+	return err
+}
+
+// close ends what still runs.
+func (r *run) close() {
+	r.ended.Store(true)
+	if r.process != nil {
+		r.process.kill()
+	}
+	close(r.backendsEnded)
+	for _, backend := range r.backends {
+		backend.listener.Close()
+	}
+	if r.discovery != nil {
+		r.discovery.close()
+	}
+	if r.counter != nil {
+		r.counter.close()
+	}
+}
+
+// over reports whether clients stop.
+func (r *run) over() bool {
+	for r.paused.Load() && !r.ended.Load() {
+		time.Sleep(retryPause)
+	}
+	return r.ended.Load()
+}
+
+// connectionsCome reports whether new connections still come.
+func (r *run) connectionsCome() bool {
+	r.record.mu.Lock()
+	defer r.record.mu.Unlock()
+	return r.record.termAt == 0 || r.record.now() < r.record.termAt+r.plan.NewConnections
+}
+
+// play sends traffic and plays the plan until the process has ended, or is killed.
+func (r *run) play(ctx context.Context) error {
+	pid := r.process.cmd.Process.Pid
+	stopOwn := r.own.Start(r.record.now)
+	defer stopOwn()
+	stopWaits := r.waits.Start(r.record.now, func() []int { return []int{pid} })
+	defer stopWaits()
+	crowd := r.startCrowd()
+	defer crowd()
+	var clients sync.WaitGroup
+	for number := range r.plan.Clients + r.plan.Resting {
+		clients.Go(newClient(r, number).play)
+	}
+	if r.plan.ChecksIdle {
+		r.checkIdle(pid)
+	}
+	events := r.events()
+	r.playEvents(ctx, events)
+	r.endProcess()
+	r.ended.Store(true)
+	stopOwn()
+	stopWaits()
+	clients.Wait()
+	return ctx.Err()
+}
+
+// report judges the run.
+func (r *run) report() Report {
+	r.record.mu.Lock()
+	defer r.record.mu.Unlock()
+	report := Report{Seed: r.plan.Seed, Requests: len(r.record.order), Refused: r.record.refused, Plan: r.plan.String()}
+	for _, req := range r.record.order {
+		if req.status == 200 {
+			report.Served++
+		}
+		for _, attempt := range req.attempts {
+			report.Attempts++
+			if attempt.firstByteAt > r.record.termAt {
+				report.Late++
+			}
+		}
+	}
+	report.Violations, report.Unjudged = r.split(r.judge())
+	report.Unread = r.record.unread
+	report.EndedAfter = (r.record.endedAt - r.record.termAt).Seconds()
+	report.OwnDelay = lateness.Worst(r.own.Delays, 0, r.record.endedAt).Milliseconds()
+	report.Waited = lateness.Sum(r.waits.Waits[0], 0, r.record.endedAt).Milliseconds()
+	return report
+}
+
+// Print writes a line for the run, and one for each violation.
+func (report Report) Print(out io.Writer) {
+	fmt.Fprintf(out, "seed %d: %d requests, %d served, %d attempts, %d of them after SIGTERM; ended after %.2f s; %d broken, %d not judged\n",
+		report.Seed, report.Requests, report.Served, report.Attempts, report.Late, report.EndedAfter, len(report.Violations), len(report.Unjudged))
+	for _, v := range report.Violations {
+		fmt.Fprintf(out, "  BROKEN %s: %s %s, %.3f s after SIGTERM\n", v.Rule, v.Request, v.What, v.At.Seconds())
+	}
+	for _, v := range report.Unjudged {
+		fmt.Fprintf(out, "  not judged, the machine was late: %s: %s %s, %.3f s after SIGTERM\n", v.Rule, v.Request, v.What, v.At.Seconds())
+	}
+	if len(report.Violations) > 0 {
+		fmt.Fprintf(out, "  plan: %s\n", report.Plan)
+	}
+}
