A request's time counts from its arrival, and silent connections in the backlog make room

Callers behind a crowd of idle clients got answers more than half a second after their time, and backends were told up to half a second more than was left. Causes: the time was counted from when a request was read, not from when it came; and at the limit of connections accepting waited up to 300 ms for each in turn, also for those that had been silent in the backlog for longer than an accepted one may be. Change: TCP_INFO tells how long ago the last bytes came, and FeedReceived counts from then; at the limit a connection that is silent and older than 150 ms is closed at its turn, and the wait for room includes the time in the backlog. It works since both then know the arrival.

--- a/internal/server/accept.go
+++ b/internal/server/accept.go
@@ -74,16 +74,14 @@
 // serveClient starts the goroutine of an accepted connection, or rejects it where limits.connections are open and none
 // makes room. It waits for clientSlotTimeout at most, and counts the connection in shared.ClientConns until it is closed.
 func (s *Server) serveClient(conn *net.TCPConn) {
-	if open := s.shared.ClientConns.Add(1); open > int64(s.cfg.Limits.Connections) && !s.waitForClientSlot() {
-		s.rejectClient(conn)
-		return
-	}
 	cc, err := s.newClientConn(conn)
 	if err != nil {
-		s.shared.ClientConns.Add(-1)
 		conn.Close()
 		return
 	}
+	if open := s.shared.ClientConns.Add(1); open > int64(s.cfg.Limits.Connections) && !s.makeRoomFor(cc) {
+		return
+	}
 	if s.debug {
 		s.log.Debug("client connected", "client", conn.RemoteAddr().String())
 	}
@@ -99,6 +97,22 @@
 	})
 }
 
+// makeRoomFor makes room for a connection beyond limits.connections, and reports whether there is any; else the connection
+// is rejected. One that was silent in the backlog for firstRequestTime is closed: it would be the first to make room.
+func (s *Server) makeRoomFor(cc *clientConn) bool {
+	age := inputAge(cc.socket.raw)
+	if age >= firstRequestTime && !hasInput(cc.socket.raw) {
+		s.shared.ClientConns.Add(-1)
+		cc.socket.close()
+		return false
+	}
+	if s.waitForClientSlot(clientSlotTimeout - age) {
+		return true
+	}
+	s.rejectClient(cc.socket.conn)
+	return false
+}
+
 // rejectClient answers a connection beyond the limit, or closes it unread where maxRejectedConnections are being answered.
 func (s *Server) rejectClient(conn *net.TCPConn) {
 	if s.shared.ClientConns.Load() > int64(s.cfg.Limits.Connections)+maxRejectedConnections {
--- a/internal/server/descriptors.go
+++ b/internal/server/descriptors.go
@@ -27,7 +27,7 @@
 	// firstRequestTime is how long a new connection has for the first byte of a request before it may be evicted: some
 	// round trips, and no more, since silent connections cost an attacker nothing.
 	firstRequestTime = 150 * time.Millisecond
-	// clientSlotTimeout is how long accepting waits for an eviction; others wait in the backlog meanwhile.
+	// clientSlotTimeout is how long a connection waits for an eviction, the backlog included; others wait there meanwhile.
 	clientSlotTimeout = 300 * time.Millisecond
 	// clientSlotPoll is how often the number of connections is checked meanwhile: an evicted connection closes within a few milliseconds.
 	clientSlotPoll = 5 * time.Millisecond
@@ -36,11 +36,11 @@
 	neverRequestedRank = time.Hour
 )
 
-// waitForClientSlot evicts an idle connection to make room for a new one, and waits for clientSlotTimeout at most until
-// there is room or one is on its way out. The accept loop calls it; connections that come meanwhile wait in the backlog.
-// A shutdown does not cut the wait short: connectionsCtx ends only after the accept loop has returned.
-func (s *Server) waitForClientSlot() bool {
-	for range clientSlotTimeout / clientSlotPoll {
+// waitForClientSlot evicts an idle connection to make room for a new one, and waits for a time at most until there is room
+// or one is on its way out; it looks once at least. The accept loop calls it; connections that come meanwhile wait in the
+// backlog. A shutdown does not cut the wait short: connectionsCtx ends only after the accept loop has returned.
+func (s *Server) waitForClientSlot(limit time.Duration) bool {
+	for range max(1, limit/clientSlotPoll) {
 		over := s.shared.ClientConns.Load() - int64(s.cfg.Limits.Connections)
 		if over <= 0 {
 			return true
--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -132,3 +134,37 @@
 		t.Error("still accepting")
 	}
 }
+
+// TestTimeInBacklogCounts: a request lay in the backlog while accepting waited. Its client's time was counted from when the
+// request was read: the backend was told more than was left, and the answer came after the client's time.
+func TestTimeInBacklogCounts(t *testing.T) {
+	const timeout, inBacklog = 1000, 300 // milliseconds; the timeout is under the objective, which bounds a first attempt
+	deadlines := make(chan string, 1)
+	backend := startScriptedPeer(t, func(c net.Conn, in *bufio.Reader) {
+		if req, err := http.ReadRequest(in); err == nil {
+			deadlines <- req.Header.Get("X-Deadline-Ms")
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+		}
+	})
+	counter, _ := startCounter(t)
+	r := startNode(t, startDiscovery(t).addr, counter, 64, backend)
+	r.server.queueMu.Lock() // accepting waits here, once the first of these is in
+	first, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	r.clientConnOf(first)
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, strings.Replace(nodeRequest(1), "X-Deadline-Ms: 4000", fmt.Sprintf("X-Deadline-Ms: %d", timeout), 1))
+	time.Sleep(inBacklog * time.Millisecond)
+	r.server.queueMu.Unlock()
+	given, err := strconv.Atoi(<-deadlines)
+	if most := timeout - inBacklog*9/10; err != nil || given > most {
+		t.Errorf("the backend is told %d ms (%v), at most %d are left", given, err, most)
+	}
+}
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -128,12 +128,17 @@
 	c.close()
 }
 
-// Feed takes all of b in. It returns an exchange when a request is complete and for the instance to decide; until its
-// response is out no other follows, and nil is returned.
+// Feed takes all of b in, which has been received now. It returns an exchange when a request is complete and for the
+// instance to decide; until its response is out no other follows, and nil is returned.
 func (c *ClientConn) Feed(now time.Duration, b []byte) *Exchange {
+	return c.FeedReceived(now, now, b)
+}
+
+// FeedReceived is Feed for bytes that were received at a time before now: the client's time counts from then.
+func (c *ClientConn) FeedReceived(now, receivedAt time.Duration, b []byte) *Exchange {
 	if c.phase == phaseAwaitResponse {
 		if len(c.readAhead) == 0 {
-			c.readAheadSince = now
+			c.readAheadSince = receivedAt
 		}
 		c.storeReadAhead(b)
 		return nil
@@ -142,7 +147,7 @@
 		c.storeReadAhead(b)
 		return c.Resume(now)
 	}
-	c.receivedAt = now
+	c.receivedAt = receivedAt
 	return c.parse(now, b)
 }
 
