A quota without a counter that is split into less than one request admits by chance

Customers of a deployment without a counter that come in through hundreds of instances were refused nearly always, with their quota unused. Cause: each instance admitted a request only where its split of burst and rate held all of it, and with 300 instances none does. Change: such a split admits once its tokens reach a share of the request that is drawn anew after each, and the tokens go below nothing; a customer new to an instance has had tokens there since its start, for a minute at most. It works since the expected sum over the fleet is then the quota's, however seldom one instance meets the customer.

--- a/decision/gateway.go
+++ b/decision/gateway.go
@@ -29,6 +29,7 @@
 	settings     Settings
 	randomSource *rand.PCG // what rng draws from; a part of the state
 	rng          *rand.Rand
+	startedAt    time.Duration
 	now          time.Duration // of the last event
 	actions      []Action      // of the event that is being handled
 	load         loadEstimator
@@ -55,6 +56,7 @@
 		settings:     settings,
 		randomSource: source,
 		rng:          rand.New(source),
+		startedAt:    now,
 		now:          now,
 		load:         newLoadEstimator(now),
 		admission:    newAdmissionControl(settings.Classes, settings.Plans),
--- a/decision/quota.go
+++ b/decision/quota.go
@@ -10,6 +10,12 @@
 // in. Each of them holds a token bucket with its split: burst and rate over the number of these instances. A customer
 // that comes in through one instance alone is decided by that bucket; of others the counter's total tells more.
 //
+// Where the counter can't be asked and a customer's burst is split into less than one request for each instance, no
+// instance could ever admit one. There a request is admitted by chance: once the tokens reach a share of it that is drawn
+// anew for each. The tokens go below nothing then, so that over the fleet about the quota is admitted, however seldom an
+// instance meets the customer. One that is new to an instance has had tokens there since the instance started, for
+// customerIdleTTL at most: after a time without requests as much as that may be passed beyond the burst.
+//
 // A plan's ceiling has a bucket of its own. It may never be passed by more than its slack, also when the counter is
 // silent or has forgotten, so it is split in any case; only a part may be passed on beyond the split by asking.
 //
@@ -91,7 +97,8 @@
 
 	// The buckets of this instance's split, as of refilledAt.
 	refilledAt    time.Duration
-	tokens        float64 // units left of the quota
+	tokens        float64 // units left of the quota; below nothing after a request that was admitted by chance
+	splitDraw     float64 // share of a request that tokens must reach where the split is smaller than it
 	ceilingTokens float64 // units left of the ceiling
 	recentDemand  float64 // units asked for here lately
 
@@ -157,8 +164,8 @@
 	return customer
 }
 
-// newCustomer makes the record of a customer that is new here. It has the split of its burst, but of a ceiling only that
-// of the slack: this instance may have restarted, and the ceiling may have been drawn on until a moment ago.
+// newCustomer makes the record of a customer that is new here. It has the split of its burst, and more where that is less
+// than a request (see above), but of a ceiling only that of the slack: this instance may have restarted, and the ceiling may have been drawn on until a moment ago.
 func (g *Gateway) newCustomer(event RequestArrived) *customerRecord {
 	customer := &customerRecord{
 		id:            event.Customer,
@@ -170,6 +177,11 @@
 	customer.quota = &g.quotas.plans[customer.plan]
 	customer.usesCounter = g.settings.Counter && customer.instances > 1 && customer.quota.maxTotal > 0
 	customer.tokens = customer.quota.burst / customer.instances
+	if customer.splitsByChance() && customer.tokens < g.settings.MaxUnits {
+		sinceStart := min(g.now-g.startedAt, customerIdleTTL)
+		customer.tokens = min(g.settings.MaxUnits, customer.tokens+customer.quota.rate/customer.instances*sinceStart.Seconds())
+		customer.splitDraw = g.rng.Float64()
+	}
 	customer.ceilingTokens = g.settings.Plans[customer.plan].CeilingSlack / customer.instances
 	return customer
 }
@@ -223,7 +235,7 @@
 
 // checkSplit judges a request by this instance's split alone.
 func (customer *customerRecord) checkSplit(plan *Plan, units float64) quotaVerdict {
-	if plan.Rate > 0 && customer.tokens < units {
+	if plan.Rate > 0 && !customer.splitAllows(units) {
 		return quotaExceeded
 	}
 	if plan.MaxInFlight > 0 && !customer.inFlightAllows(plan) {
@@ -232,6 +244,24 @@
 	return quotaInside
 }
 
+// splitAllows tells whether this instance's split of the quota has room for a request.
+func (customer *customerRecord) splitAllows(units float64) bool {
+	if customer.splitHolds(units) || !customer.splitsByChance() {
+		return customer.tokens >= units
+	}
+	return customer.tokens >= customer.splitDraw*units
+}
+
+// splitsByChance tells whether a split that is smaller than a request admits one by chance.
+func (customer *customerRecord) splitsByChance() bool {
+	return !customer.usesCounter && customer.instances > 1
+}
+
+// splitHolds tells whether a full split holds a request at all.
+func (customer *customerRecord) splitHolds(units float64) bool {
+	return customer.quota.burst >= customer.instances*units
+}
+
 // inFlightAllows tells whether this instance's split of the attempts in flight has room.
 func (customer *customerRecord) inFlightAllows(plan *Plan) bool {
 	return float64(customer.inFlight) < float64(plan.MaxInFlight)/customer.instances
@@ -263,7 +293,7 @@
 		return false
 	case plan.Rate == 0 && float64(plan.MaxInFlight) >= customer.instances:
 		return customer.inFlightAllows(plan)
-	case plan.Rate > 0 && customer.quota.burst >= customer.instances*units:
+	case plan.Rate > 0 && customer.splitHolds(units):
 		return customer.tokens >= units
 	}
 	probability := g.insideProbability(customer, class)
@@ -280,10 +310,22 @@
 	customer.ceilingTokens = max(0, customer.ceilingTokens-request.units)
 }
 
+// spendTokens takes a request's units off the split of the quota. Use beyond the quota leaves nothing of it, but takes it no
+// further below nothing.
+func (g *Gateway) spendTokens(customer *customerRecord, units float64) {
+	byChance := customer.splitsByChance() && !customer.splitHolds(units) && customer.splitAllows(units)
+	if !byChance {
+		customer.tokens = max(min(0, customer.tokens), customer.tokens-units)
+		return
+	}
+	customer.tokens -= units
+	customer.splitDraw = g.rng.Float64()
+}
+
 // spendUncountedUnits takes an admitted request's units off the split when the counter does not hold them; they are
 // added later. The ceiling's bucket may go below nothing here, so that what was passed is made up for.
 func (g *Gateway) spendUncountedUnits(customer *customerRecord, units float64) {
-	customer.tokens = max(0, customer.tokens-units)
+	g.spendTokens(customer, units)
 	customer.ceilingTokens -= units
 	if customer.usesCounter && !customer.quota.countsInFlight() {
 		g.queuePendingUse(customer, units)
--- a/decision/restore.go
+++ b/decision/restore.go
@@ -25,6 +25,7 @@
 		return nil, err
 	}
 	g.actions = nil
+	g.startedAt = s.StartedAt
 	if err := g.randomSource.UnmarshalBinary(s.Random); err != nil {
 		return nil, &StateError{Table: "Random", Row: -1, Cause: err}
 	}
@@ -125,6 +126,7 @@
 		lastUsedAt:             c.LastUsedAt,
 		refilledAt:             c.RefilledAt,
 		tokens:                 c.Tokens,
+		splitDraw:              c.SplitDraw,
 		ceilingTokens:          c.CeilingTokens,
 		counterTotal:           c.CounterTotal,
 		counterTotalAt:         c.CounterTotalAt,
--- a/decision/snapshot.go
+++ b/decision/snapshot.go
@@ -73,6 +73,9 @@
 func (g *Gateway) Snapshot() (State, error) {
 	random, err := g.randomSource.MarshalBinary()
 	s := State{Random: random, Now: g.now, InFlight: g.load.inFlight}
+	if !g.settings.Counter { // where a counter is called, nothing goes by it
+		s.StartedAt = g.startedAt
+	}
 	g.load.snapshot(&s)
 	g.admission.snapshot(&s)
 	g.serviceRate.snapshot(&s)
@@ -213,6 +216,7 @@
 		LastUsedAt:             customer.lastUsedAt,
 		RefilledAt:             customer.refilledAt,
 		Tokens:                 customer.tokens,
+		SplitDraw:              customer.splitDraw,
 		CeilingTokens:          customer.ceilingTokens,
 		CounterTotal:           customer.counterTotal,
 		CounterTotalAt:         customer.counterTotalAt,
--- a/decision/state.go
+++ b/decision/state.go
@@ -34,6 +34,7 @@
 	CounterCallProbability  float64           `json:"Asking"`
 	CounterOverloadedAt     time.Duration     `json:"Crowded"`
 	InFlight                int               `json:"Open"`
+	StartedAt               time.Duration     `json:"Born,omitempty"` // of the gateway; 0 where a counter is called
 	ProbeTurn               int               `json:"Turn"`
 	SweepPosition           int               `json:"Swept"`
 	WatchPending            bool              `json:"Subscribe"`
@@ -73,10 +74,11 @@
 	PendingUseQueued       bool          `json:"Queued"`
 	LastUsedAt             time.Duration `json:"Used"`
 	RefilledAt             time.Duration `json:"At"`
-	Tokens                 float64       `json:"Level"`   // units left of this instance's split of the quota
-	CeilingTokens          float64       `json:"Ceiling"` // units left of its split of the ceiling
-	CounterTotal           float64       `json:"Total"`   // units, use at all instances, faded, as of CounterTotalAt
-	CounterTotalAt         time.Duration `json:"Heard"`   // 0: never
+	Tokens                 float64       `json:"Level"`            // units left of this instance's split of the quota
+	SplitDraw              float64       `json:"Chance,omitempty"` // share of a request that Tokens must reach where the split is smaller than it
+	CeilingTokens          float64       `json:"Ceiling"`          // units left of its split of the ceiling
+	CounterTotal           float64       `json:"Total"`            // units, use at all instances, faded, as of CounterTotalAt
+	CounterTotalAt         time.Duration `json:"Heard"`            // 0: never
 	OverQuotaUntil         time.Duration `json:"Next"`
 	CounterDistrustedUntil time.Duration `json:"Wary"`
 	PendingUse             float64       `json:"Fresh"` // units spent here that were not added to the counter yet
