Two comments lose the story of their values; two set-ups of tests stand once

Change: the comments keep the reason in terms of the product; openRecorded, dial and dialIntoBacklog serve both places, with the same checks after them.

--- a/decision/gateway.go
+++ b/decision/gateway.go
@@ -8,7 +8,7 @@
 // Each rule has one file: load.go (backend utilization), admission.go (load shedding), quota.go and countersync.go
 // (plans and the shared counter), endpoints.go, slowstart.go, outlier.go and balancer.go (backends), attempt.go,
 // retry.go and response.go (what becomes of a request), ewma.go (averages). docs/design.md says why the rules are as
-// they are and which values of the constants were measured.
+// they are.
 package decision
 
 import (
--- a/decision/load.go
+++ b/decision/load.go
@@ -10,7 +10,7 @@
 
 const (
 	// fullLoadLatencyRatio is the expected latency, as a share of the objective, that counts as full load: above it
-	// the queue may outgrow the objective before the control loop reacts. Measured, see docs/design.md.
+	// the queue may outgrow the objective before the control loop reacts.
 	fullLoadLatencyRatio = 0.4
 	// fullLoadCPU is the reported use of processors that counts as full load; 1 is all of them.
 	fullLoadCPU = 1.0
--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -13,24 +13,32 @@
 	"time"
 )
 
+// dialIntoBacklog opens a connection that lies in the backlog until queueMu, which it locks, is unlocked.
+func (r *gateway) dialIntoBacklog() net.Conn {
+	r.Helper()
+	r.server.queueMu.Lock() // accepting waits here, once the first of these is in
+	r.clientConnOf(r.dial())
+	return r.dial()
+}
+
+// dial opens a connection that is closed with the test.
+func (r *gateway) dial() net.Conn {
+	r.Helper()
+	conn, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		r.Fatal(err)
+	}
+	r.Cleanup(func() { conn.Close() })
+	return conn
+}
+
 // TestBacklogIsAnsweredWhenAcceptingEnds: the deadline of the listener passes while a connection lies in the backlog.
 // An accept then ends without taking it, and it would be reset with its request. It must be accepted and answered.
 func TestBacklogIsAnsweredWhenAcceptingEnds(t *testing.T) {
 	count, _ := startCounter(t)
 	r := startNode(t, startDiscovery(t).addr, count, 64, startNamedBackend(t, "a"))
 	r.requireServedBy(1, "a")
-	r.server.queueMu.Lock() // accepting waits here, once the first of these is in
-	first, err := net.Dial("tcp", r.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer first.Close()
-	r.clientConnOf(first)
-	c, err := net.Dial("tcp", r.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c := r.dialIntoBacklog()
 	io.WriteString(c, nodeRequest(2))
 	r.server.listener.SetDeadline(time.Unix(1, 0)) // as at the end of limits.stop-delay
 	r.server.queueMu.Unlock()
@@ -148,18 +156,7 @@
 	})
 	counter, _ := startCounter(t)
 	r := startNode(t, startDiscovery(t).addr, counter, 64, backend)
-	r.server.queueMu.Lock() // accepting waits here, once the first of these is in
-	first, err := net.Dial("tcp", r.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer first.Close()
-	r.clientConnOf(first)
-	c, err := net.Dial("tcp", r.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c := r.dialIntoBacklog()
 	io.WriteString(c, strings.Replace(nodeRequest(1), "X-Deadline-Ms: 4000", fmt.Sprintf("X-Deadline-Ms: %d", timeout), 1))
 	time.Sleep(inBacklog * time.Millisecond)
 	r.server.queueMu.Unlock()
--- a/trace/recorded_test.go
+++ b/trace/recorded_test.go
@@ -103,8 +103,9 @@
 	}
 }
 
-// rewriteRecordedStates writes the recorded trace anew with this build's states; head, events and actions stay.
-func rewriteRecordedStates(t *testing.T) {
+// openRecorded begins to read the recorded trace.
+func openRecorded(t *testing.T) *Reader {
+	t.Helper()
 	file, err := os.ReadFile(recordedTrace)
 	if err != nil {
 		t.Fatal(err)
@@ -113,7 +114,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer r.Close()
+	t.Cleanup(r.Close)
+	return r
+}
+
+// rewriteRecordedStates writes the recorded trace anew with this build's states; head, events and actions stay.
+func rewriteRecordedStates(t *testing.T) {
+	r := openRecorded(t)
 	replay, err := NewReplay(r.Header)
 	if err != nil {
 		t.Fatal(err)
@@ -227,15 +234,7 @@
 // TestRecordedTraceIsWrittenAlike: what is read of the recorded trace is written as the same bytes: the names and numbers
 // within the format, those of the module's settings, events, actions and states among them, are what they were.
 func TestRecordedTraceIsWrittenAlike(t *testing.T) {
-	file, err := os.ReadFile(recordedTrace)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r, err := NewReader(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer r.Close()
+	r := openRecorded(t)
 	head, err := codec.enc.Marshal(r.Header)
 	if err != nil {
 		t.Fatal(err)
@@ -262,7 +261,7 @@
 			t.Fatalf("frame %d is written as other bytes:\n%q\nrecorded was\n%q", frames, clip(again, b), clip(b, again))
 		}
 		size += len(b)
-		if r.offset == len(file) {
+		if r.offset == len(r.file) {
 			break
 		}
 	}
