The soak sees a process end by a pipe: the wait for its status can return seconds late

Traced: the instance's log says "stopped" at 0.61 s where the soak saw an end at 3.01 s; at the kill the process had no entry under /proc any more, while the soak's waitid was still in the kernel. So the process had ended and been reaped; the wait returns only when its entries under /proc are cleared away, which takes long while the soak itself reads /proc. Change: the process holds the writing end of a pipe, whose end tells; the status is waited for after that. The moment of a kill's violation is the kill, and it names what the threads did then. No check is loosened.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -60,7 +60,8 @@
 		add(0, "more than one answer")
 	case req.status != 0 || req.leftAt > 0:
 	case req.cutAtKill:
-		add(socketSlack, "%s request unanswered at the kill, %v after it was written", req.class.name, req.endedAt-req.writtenAt)
+		violations = append(violations, r.violation(rule, req, r.record.killedAt, socketSlack,
+			"%s request unanswered at the kill, %v after it was written", req.class.name, r.record.killedAt-req.writtenAt))
 	case !req.connectionEnds:
 		add(max(1, req.endedAt-deadline+socketSlack), "%s request without an answer %v after it was written, its time is %v", req.class.name, req.endedAt-req.writtenAt, req.timeout)
 	case len(req.attempts) > 0:
@@ -131,7 +132,7 @@
 func (r *run) checkProcess() (violations []Violation) {
 	record, facts := r.record, &r.record.instance
 	add := func(rule string, excess time.Duration, format string, args ...any) {
-		violations = append(violations, r.violation(rule, nil, record.endedAt, excess, format, args...))
+		violations = append(violations, r.violation(rule, nil, r.judgedAt(), excess, format, args...))
 	}
 	if record.readyTime > readyBound {
 		add("ready in time", record.readyTime-readyBound, "ready after %v", record.readyTime)
@@ -142,7 +143,7 @@
 		add("no crash", 0, "it ended with %v", facts.exit)
 	}
 	if record.killedAt > 0 {
-		add("ends by itself", socketSlack, "it still ran at the kill, %v after SIGTERM", record.killedAt-record.termAt)
+		add("ends by itself", socketSlack, "it still ran at the kill, %v after SIGTERM; its threads: %s", record.killedAt-record.termAt, facts.threads)
 	}
 	if facts.idleExcess > 0 {
 		add("idle as at the start", 0, "%d descriptors more than at the start", facts.idleExcess)
@@ -159,6 +160,14 @@
 	return violations
 }
 
+// judgedAt is the moment at which the process's end is judged: the kill, which this process may notice to be over much later.
+func (r *run) judgedAt() time.Duration {
+	if r.record.killedAt > 0 {
+		return r.record.killedAt
+	}
+	return r.record.endedAt
+}
+
 // split parts violations from those of a time limit that was passed by no more than this process ran late, or the instance's
 // threads waited for a processor, about that moment: those can't be laid to the instance.
 func (r *run) split(violations []Violation) (broken, unjudged []Violation) {
--- a/internal/soak/events.go
+++ b/internal/soak/events.go
@@ -112,7 +112,7 @@
 		case <-time.After(time.Until(at)):
 		case <-ctx.Done():
 			return
-		case <-r.process.done:
+		case <-r.process.exited:
 			return
 		}
 		event.play()
@@ -123,13 +123,15 @@
 func (r *run) endProcess() {
 	killAt := r.record.origin.Add(r.record.termAt + r.plan.KillAt())
 	select {
-	case <-r.process.done:
+	case <-r.process.exited:
 	case <-time.After(time.Until(killAt)):
 		now := r.record.now()
-		r.record.update(func() { r.record.killedAt = now })
+		threads := threadStates(r.process.cmd.Process.Pid)
+		r.record.update(func() { r.record.killedAt, r.record.instance.threads = now, threads })
 		r.process.kill()
 	}
 	now := r.record.now()
+	<-r.process.done
 	r.record.update(func() {
 		r.record.endedAt = now
 		if r.record.killedAt == 0 {
@@ -185,6 +187,20 @@
 	})
 }
 
+// threadStates tells what the threads of a process do: their states as the kernel names them, and where they wait in it.
+func threadStates(pid int) string {
+	var states []string
+	folders, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", pid))
+	for _, folder := range folders {
+		status, _ := os.ReadFile(filepath.Join(folder, "stat"))
+		_, rest, _ := strings.Cut(string(status), ") ")
+		state, _, _ := strings.Cut(rest, " ")
+		wchan, _ := os.ReadFile(filepath.Join(folder, "wchan"))
+		states = append(states, state+" "+string(wchan))
+	}
+	return strings.Join(states, ", ")
+}
+
 // openDescriptors is how many descriptors a process has open.
 func openDescriptors(pid int) int {
 	entries, _ := os.ReadDir(filepath.Join("/proc", strconv.Itoa(pid), "fd"))
--- a/internal/soak/facts.go
+++ b/internal/soak/facts.go
@@ -63,6 +63,7 @@
 	crash       string // the first line of a panic in its log
 	idleExcess  int    // descriptors that an idle instance did not give back
 	memoryGrown int64  // bytes
+	threads     string // what its threads did at the kill
 }
 
 func newRecord() *record { return &record{origin: time.Now(), requests: map[string]*request{}} }
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -18,8 +19,9 @@
 type instanceProcess struct {
 	cmd     *exec.Cmd
 	logFile string
-	done    chan struct{} // closed with its end
-	err     error         // after that
+	exited  chan struct{} // closed with its end
+	done    chan struct{} // closed when its status is known, which the kernel may tell seconds later
+	err     error         // after done
 }
 
 // startInstance starts the instance and waits until it is ready.
@@ -34,7 +36,7 @@
 		return nil, err
 	}
 	exe, args := r.options.Command("sandyard")
-	p := &instanceProcess{cmd: exec.Command(exe, append(args, "node")...), logFile: filepath.Join(r.dir, "instance.log"), done: make(chan struct{})}
+	p := &instanceProcess{cmd: exec.Command(exe, append(args, "node")...), logFile: filepath.Join(r.dir, "instance.log"), exited: make(chan struct{}), done: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), "NODE_CONFIG="+r.configFile())
 	log, err := os.Create(p.logFile)
 	if err != nil {
@@ -43,13 +45,9 @@
 	defer log.Close()
 	p.cmd.Stderr = log
 	started := time.Now()
-	if err := drill.Spawn(p.cmd); err != nil {
+	if err := p.spawn(); err != nil {
 		return nil, err
 	}
-	go func() {
-		p.err = p.cmd.Wait()
-		close(p.done)
-	}()
 	if err := r.waitForReady(p, started); err != nil {
 		p.kill()
 		return nil, err
@@ -58,12 +56,38 @@
 	return p, nil
 }
 
+// spawn starts the process. It holds the writing end of a pipe, so that the pipe's end tells that it has ended: a wait for its
+// status returns only when the kernel has also cleared away its entries under /proc, which takes long while they are read.
+func (p *instanceProcess) spawn() error {
+	pipe, held, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	defer held.Close()
+	p.cmd.ExtraFiles = []*os.File{held}
+	if err := drill.Spawn(p.cmd); err != nil {
+		pipe.Close()
+		return err
+	}
+	go func() { // ends with the process
+		defer pipe.Close()
+		io.Copy(io.Discard, pipe)
+		close(p.exited)
+	}()
+	go func() { // ends with the process's status
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	return nil
+}
+
 // waitForReady asks until the instance says that it is ready. One that takes much longer than it may is an error.
 func (r *run) waitForReady(p *instanceProcess, started time.Time) error {
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: readyBound}
 	for time.Since(started) < 2*readyBound {
 		select {
-		case <-p.done:
+		case <-p.exited:
+			<-p.done
 			return fmt.Errorf("the instance ended before it was ready: %v; see %s", p.err, p.logFile)
 		default:
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -200,8 +200,8 @@
 
 // Print writes a line for the run, and one for each violation.
 func (report Report) Print(out io.Writer) {
-	fmt.Fprintf(out, "seed %d: %d requests, %d served, %d attempts, %d of them after SIGTERM; ended after %.2f s; %d broken, %d not judged\n",
-		report.Seed, report.Requests, report.Served, report.Attempts, report.Late, report.EndedAfter, len(report.Violations), len(report.Unjudged))
+	fmt.Fprintf(out, "seed %d: %d requests, %d served, %d attempts, %d of them after SIGTERM; ended after %.2f s; soak %d ms late, instance waited %d ms for a processor; %d broken, %d not judged\n",
+		report.Seed, report.Requests, report.Served, report.Attempts, report.Late, report.EndedAfter, report.OwnDelay, report.Waited, len(report.Violations), len(report.Unjudged))
 	for _, v := range report.Violations {
 		fmt.Fprintf(out, "  BROKEN %s: %s %s, %.3f s after SIGTERM\n", v.Rule, v.Request, v.What, v.At.Seconds())
 	}
