Logs tell when endpoints depart, by how old a list attempts begin, and what a play met

Change: "endpoints departed" has the addresses that a message of discovery takes out of use, with the times since it was read and since its bytes came; an attempt by a list that heartbeats should have confirmed is logged in any phase; the records of attempts name the version that the watch has read beside the one that was handled, and how late the attempt is written; "stopped" has the greatest age of the list at any attempt. The age counts from the reading, no longer from the handling. "sandyard-drill exposure" makes a line of a play's logs. node has no admin socket, so the age is not shown there.

--- a/internal/cli/drill.go
+++ b/internal/cli/drill.go
@@ -31,8 +31,9 @@
 		return Usage
 	}
 	var g struct {
-		Play drillArgs `cmd:"" default:"withargs" help:"Play the day; the command may be left out."`
-		Soak soakArgs  `cmd:"" help:"Play ends of a process, drawn from seeds, and check what crossed the sockets."`
+		Play     drillArgs    `cmd:"" default:"withargs" help:"Play the day; the command may be left out."`
+		Soak     soakArgs     `cmd:"" help:"Play ends of a process, drawn from seeds, and check what crossed the sockets."`
+		Exposure exposureArgs `cmd:"" help:"Tell from the logs of plays how often a shutdown crossed a change of the endpoint list."`
 	}
 	return program("sandyard-drill", "A bad day on real sockets, with the five rules checked from what crossed them.", &g, args, out, errs,
 		&Console{out, errs})
--- /dev/null
+++ b/internal/exposure/logline.go
@@ -0,0 +1,53 @@
+package exposure
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// logLine is a record of an instance's log in the text form of log/slog.
+type logLine struct {
+	at      time.Time
+	message string
+	fields  map[string]string // the other keys
+}
+
+// parseLogLine reads a line; what stands before its first "time=" is passed over. False: it is no record.
+func parseLogLine(text string) (logLine, bool) {
+	start := strings.Index(text, "time=")
+	if start < 0 {
+		return logLine{}, false
+	}
+	fields := parseFields(text[start:])
+	at, err := time.Parse(time.RFC3339Nano, fields["time"])
+	if err != nil {
+		return logLine{}, false
+	}
+	return logLine{at: at, message: fields["msg"], fields: fields}, true
+}
+
+// parseFields reads pairs key=value, of which a value with spaces is quoted. It ends where the text has another form.
+func parseFields(text string) map[string]string {
+	fields := map[string]string{}
+	for text = strings.TrimSpace(text); text != ""; text = strings.TrimLeft(text, " ") {
+		key, rest, found := strings.Cut(text, "=")
+		if !found {
+			return fields
+		}
+		quoted, err := strconv.QuotedPrefix(rest)
+		if err == nil {
+			fields[key], _ = strconv.Unquote(quoted)
+			text = rest[len(quoted):]
+			continue
+		}
+		fields[key], text, _ = strings.Cut(rest, " ")
+	}
+	return fields
+}
+
+// millis is a field that counts milliseconds; 0 if it is not there.
+func (l logLine) millis(key string) time.Duration {
+	count, _ := strconv.ParseInt(l.fields[key], 10, 64)
+	return time.Duration(count) * time.Millisecond
+}
--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sandyard/config"
@@ -52,6 +53,8 @@
 type endpointWatch struct {
 	server *Server
 
+	readVersion atomic.Uint64 // of the last message that was read, which may still wait for the event loop
+
 	mu             sync.Mutex // guards address and addressChanged
 	address        string     // host:port
 	addressChanged chan struct{}
@@ -147,7 +150,7 @@
 	socket.write(fmt.Appendf(nil, "GET /v1/endpoints?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.version, address))
 	body := newWatchBody(socket, func() { // nothing has changed since the version that is held
 		received = true
-		w.server.post(endpointsConfirmed{w.version})
+		w.confirm(socket, nil)
 	})
 	messages := json.NewDecoder(body)
 	for {
@@ -156,7 +159,7 @@
 			return received, err
 		}
 		body.messageBytes = 0
-		if err := w.handleMessage(text); err != nil {
+		if err := w.handleMessage(socket, text); err != nil {
 			return received, err
 		}
 		received = true
@@ -230,7 +233,7 @@
 
 // handleMessage hands a message of discovery to the event loop. An entry that can't be read is logged; what is held of it
 // stays. It fails where the message as a whole can't be read.
-func (w *endpointWatch) handleMessage(text []byte) error {
+func (w *endpointWatch) handleMessage(socket *socket, text []byte) error {
 	update, err := platform.ParseEndpointList(text)
 	if err != nil {
 		return err
@@ -246,22 +249,46 @@
 			endpoints = append(endpoints, held)
 		}
 	}
-	if update.Full {
-		clear(w.endpoints)
-	}
-	for _, e := range endpoints {
-		w.endpoints[e.Name] = e
-		if decision.EndpointState(e.State) == decision.Removed {
-			delete(w.endpoints, e.Name)
-		}
-	}
+	departed := w.holdEndpoints(endpoints, update.Full)
 	w.version = update.Version
+	w.readVersion.Store(update.Version)
 	if update.Full {
 		w.server.post(endpointsReplaced{endpoints})
 	} else {
 		w.server.post(endpointsUpdated{endpoints})
 	}
-	w.server.post(endpointsConfirmed{w.version})
+	w.confirm(socket, departed)
 	w.server.log.Info("list of boxes", "seq", update.Version, "whole", update.Full, "entries", len(endpoints))
 	return nil
 }
+
+// holdEndpoints keeps what a message says, and returns the addresses of the endpoints that it takes out of use.
+func (w *endpointWatch) holdEndpoints(endpoints []config.Endpoint, full bool) (departed []string) {
+	before := w.endpoints
+	if full {
+		w.endpoints = make(map[string]config.Endpoint, len(endpoints))
+	} else {
+		before = make(map[string]config.Endpoint, len(endpoints))
+		for _, e := range endpoints {
+			before[e.Name] = w.endpoints[e.Name]
+		}
+	}
+	for _, e := range endpoints {
+		w.endpoints[e.Name] = e
+		if decision.EndpointState(e.State) == decision.Removed {
+			delete(w.endpoints, e.Name)
+		}
+	}
+	return departedEndpoints(before, w.endpoints)
+}
+
+// confirm tells the event loop that discovery has said something by which the list of the held version is current.
+func (w *endpointWatch) confirm(socket *socket, departed []string) {
+	readAt := w.server.now()
+	w.server.post(endpointsConfirmed{
+		version:   w.version,
+		readAt:    readAt,
+		arrivedAt: readAt - inputAge(socket.raw),
+		departed:  departed,
+	})
+}
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -44,7 +44,7 @@
 // eventLoop owns the instance: it takes what is queued, hands it over in order, carries out the effects of each message
 // before the next, and keeps the instance's timers. It waits for no peer (see carryOutEffects). Only Serve runs it.
 func (s *Server) eventLoop(stop <-chan struct{}) {
-	s.carryOutEffects()
+	s.carryOutEffects(s.now())
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var batch []message
@@ -53,13 +53,13 @@
 		now := s.now() // one time for the whole batch, and for the timers after it
 		for i, m := range batch {
 			m.apply(s, now)
-			s.carryOutEffects()
+			s.carryOutEffects(now)
 			batch[i] = nil // the array is used again: what it holds would not be freed
 		}
 		if due := s.instance.NextTimer(); due <= now {
 			s.noteLateness(now - due)
 			s.instance.Tick(now)
-			s.carryOutEffects()
+			s.carryOutEffects(now)
 		}
 		if len(batch) > 0 {
 			continue
@@ -70,8 +70,9 @@
 		case <-timer.C:
 		case <-stop:
 			s.endQueue()
-			s.instance.Stop(s.now())
-			s.carryOutEffects()
+			now := s.now()
+			s.instance.Stop(now)
+			s.carryOutEffects(now)
 			return
 		}
 	}
@@ -100,14 +101,14 @@
 
 // carryOutEffects does what the instance has asked for, in order. Nothing here waits for a peer: sockets are written as far
 // as the kernel takes it, and what has to wait does so in a goroutine of its own. Log records are written synchronously,
-// at the debug level one for each response.
-func (s *Server) carryOutEffects() {
+// at the debug level one for each response. decidedAt is the time by which the instance asked for it.
+func (s *Server) carryOutEffects(decidedAt time.Duration) {
 	for _, effect := range s.instance.Effects() {
 		switch effect.Kind {
 		case proxy.DialBackend:
 			s.dialBackend(effect.Conn)
 		case proxy.WriteAttempt:
-			s.logAttemptDuringShutdown(effect)
+			s.recordAttempt(effect, decidedAt)
 			effect.Conn.Owner.(*backendConn).write(effect.Exchange, effect.Bytes)
 		case proxy.CloseBackend:
 			effect.Conn.Owner.(*backendConn).close()
@@ -153,14 +154,3 @@
 		s.log.Debug("event loop late", "ms", late.Milliseconds())
 	}
 }
-
-// logAttemptDuringShutdown logs by which endpoint list an attempt begins after the signal to stop: an instance that ends
-// must go by a list that is followed to the last attempt.
-func (s *Server) logAttemptDuringShutdown(effect proxy.Effect) {
-	if !s.shuttingDown.Load() {
-		return
-	}
-	now := s.now()
-	s.log.Info("attempt during shutdown", "request", effect.Exchange.UniqueName, "addr", effect.Conn.Addr, "seq", s.endpointsVersion,
-		"confirmed_ms_ago", (now - s.endpointsConfirmedAt).Milliseconds(), "request_age_ms", (now - effect.Exchange.Arrived).Milliseconds())
-}
--- a/internal/server/message.go
+++ b/internal/server/message.go
@@ -121,10 +121,16 @@
 
 // endpointsConfirmed tells that discovery has said something by which the list of this version is current: a message or a
 // heartbeat. The list may be used from then on.
-type endpointsConfirmed struct{ version uint64 }
+type endpointsConfirmed struct {
+	version   uint64
+	readAt    time.Duration // when the watch read it
+	arrivedAt time.Duration // when its last bytes came, as the kernel tells
+	departed  []string      // addresses of the endpoints that it takes out of use
+}
 
 func (m endpointsConfirmed) apply(s *Server, now time.Duration) {
-	s.endpointsVersion, s.endpointsConfirmedAt = m.version, now
+	s.endpoints.version, s.endpoints.confirmedAt = m.version, m.readAt
+	s.logDeparted(m, now)
 	s.shared.MarkStarted()
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -64,9 +64,7 @@
 	instance    *proxy.Instance
 	counter     *counterConn  // nil: there is no connection, not even one that is being made
 	maxLateness time.Duration // of the event loop's timers
-	// What discovery has confirmed last, and when on the instance's clock; 0: nothing yet. For the log.
-	endpointsVersion     uint64
-	endpointsConfirmedAt time.Duration
+	endpoints   endpointRecord
 
 	connectionsCtx    context.Context // ends at step 4 of the shutdown
 	cancelConnections context.CancelFunc
@@ -144,6 +142,7 @@
 		clients:          map[*clientConn]struct{}{},
 	}
 	s.startedAt = time.Duration(s.startTime.UnixNano())
+	s.endpoints.confirmedAt = s.startedAt
 	s.queueSpace.L = &s.queueMu
 	if opt.DiscoveryAddress != "" {
 		s.discovery = newEndpointWatch(s, opt.DiscoveryAddress, opt.EndpointsVersion)
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -124,5 +124,5 @@
 	s.log.Info("stopped", "arrived", st.Arrived, "served", st.Served, "refused_quota", st.RejectedOverQuota,
 		"refused_room", st.RejectedNoCapacity, "failed", st.Failed, "left", st.ClientsLeft, "broken", st.BrokenResponses,
 		"attempts", st.Attempts, "dials", st.Dials, "expiries", s.expiredReads.Load(), "keeper_calls", st.CounterCalls,
-		"max_late_ms", s.maxLateness.Milliseconds())
+		"max_late_ms", s.maxLateness.Milliseconds(), "max_list_age_ms", s.endpoints.greatestAge.Milliseconds(), "old_list_attempts", s.endpoints.oldAttempts)
 }
