The exposure's reader keeps addresses by instance; its names have no withdrawn words

Need: addresses of endpoints are an instance's own, so a notice of one instance named a backend of another at the same address ("latest after one 840 ms" on a play that had no such attempt); and does not pass internal/codecheck, which refuses "line" and "told" in identifiers: I had cut its output off.

--- a/internal/exposure/exposure.go
+++ b/internal/exposure/exposure.go
@@ -1,8 +1,9 @@
 // Package exposure reads the logs that the instances of a play have left, and tells how often the play met the crossing of a
 // shutdown with a change of the endpoint list: a play that did not meet it shows nothing about drains.
 //
-// All instances of a play log by one clock. A notice counts from when the first of them read it: an instance that does not
-// follow the list any more logs none, and the same notices count for it.
+// All instances of a play log by one clock and number the versions of the list alike. That a notice has come is known from the
+// first instance that read it: an instance that does not follow the list any more logs none, and the same notices count for
+// it. Addresses of endpoints are an instance's own.
 package exposure
 
 import (
@@ -16,8 +17,8 @@
 	"time"
 )
 
-// maxLineBytes bounds a line of a log: a record names each endpoint of a message.
-const maxLineBytes = 1 << 20
+// maxRecordBytes bounds a line of a log: a record names each endpoint of a message.
+const maxRecordBytes = 1 << 20
 
 // Log records of an instance; docs/on-call.md lists them.
 const (
@@ -47,11 +48,11 @@
 	Age99       time.Duration `json:"age99_ns"`
 	// GreatestLateness of an attempt after it was decided to begin.
 	GreatestLateness time.Duration `json:"greatest_lateness_ns"`
-	// ClosestAttempt is the least time between a notice and the last logged attempt at an endpoint that it names, before or
-	// after; -1: no attempt at such an endpoint was logged.
+	// ClosestAttempt is the least time between a notice that an instance read and the last logged attempt of that instance at
+	// an endpoint that the notice names, before or after; -1: no attempt at such an endpoint was logged.
 	ClosestAttempt time.Duration `json:"closest_attempt_ns"`
-	// LatestAttempt is the greatest time after a notice at which an attempt at an endpoint that it names began, before the
-	// endpoint's address could be in use again; -1: none began after a notice.
+	// LatestAttempt is the greatest time after such a notice at which an attempt at an endpoint that it names began, before
+	// the endpoint's address could be in use again; -1: none began after a notice.
 	LatestAttempt time.Duration `json:"latest_attempt_ns"`
 	// EverGreatestAge is the greatest age of the list at any attempt, logged or not, of the processes that ended in order.
 	EverGreatestAge time.Duration `json:"ever_greatest_age_ns"`
@@ -62,23 +63,26 @@
 
 // attempt is a logged attempt of a process.
 type attempt struct {
+	instance   string
 	at         time.Time
 	address    string
 	shutdownAt time.Time // of its process; zero: it was not told to end yet
 }
 
-// notice is a message of discovery that took endpoints out of use.
+// notice is a message of discovery that took endpoints out of use at an instance.
 type notice struct {
-	at        time.Time // when the first instance read it
+	instance  string
+	at        time.Time // when the instance read it
 	addresses []string
 }
 
 // reader collects what the logs of a play hold.
 type reader struct {
-	play     Play
-	attempts []attempt
-	notices  map[string]*notice // by the version of the list
-	ages     []time.Duration
+	play      Play
+	attempts  []attempt
+	notices   []notice
+	firstRead map[string]time.Time // of notices, by the version of the list
+	ages      []time.Duration
 }
 
 // ReadFolder reads the logs (*.log) of a play in a folder. grace is the drain grace of the deployment; reuse is how long after
@@ -91,7 +95,7 @@
 	if len(names) == 0 {
 		return Play{}, fmt.Errorf("%s: no *.log", folder)
 	}
-	r := reader{play: Play{Name: filepath.Base(folder)}, notices: map[string]*notice{}}
+	r := reader{play: Play{Name: filepath.Base(folder)}, firstRead: map[string]time.Time{}}
 	for _, name := range names {
 		if err := r.readFile(name); err != nil {
 			return Play{}, err
@@ -107,66 +111,58 @@
 		return err
 	}
 	defer file.Close()
-	if err := r.readLog(file); err != nil {
+	if err := r.readLog(name, file); err != nil {
 		return fmt.Errorf("%s: %w", name, err)
 	}
 	return nil
 }
 
 // readLog reads the log of an instance, in which several processes may follow each other.
-func (r *reader) readLog(log io.Reader) error {
+func (r *reader) readLog(instance string, log io.Reader) error {
 	var shutdownAt time.Time
-	lines := bufio.NewScanner(log)
-	lines.Buffer(nil, maxLineBytes)
-	for lines.Scan() {
-		line, ok := parseLogLine(lines.Text())
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maxRecordBytes)
+	for scanner.Scan() {
+		entry, ok := parseRecord(scanner.Text())
 		if !ok {
 			continue
 		}
-		switch line.message {
+		switch entry.message {
 		case recordStart:
 			shutdownAt = time.Time{}
 			r.play.Processes++
 		case recordShutdown:
-			shutdownAt = line.at
+			shutdownAt = entry.at
 		case recordShutdownAttempt, recordOldListAttempt:
-			r.addAttempt(line, shutdownAt)
+			r.addAttempt(instance, entry, shutdownAt)
 		case recordDeparted:
-			r.addNotice(line)
+			r.addNotice(instance, entry)
 		case recordEnd:
-			r.play.EverGreatestAge = max(r.play.EverGreatestAge, line.millis("max_list_age_ms"))
+			r.play.EverGreatestAge = max(r.play.EverGreatestAge, entry.millis("max_list_age_ms"))
 		}
 	}
-	return lines.Err()
+	return scanner.Err()
 }
 
-func (r *reader) addAttempt(line logLine, shutdownAt time.Time) {
-	r.attempts = append(r.attempts, attempt{line.at, line.fields["addr"], shutdownAt})
-	r.ages = append(r.ages, line.millis("confirmed_ms_ago"))
-	r.play.GreatestLateness = max(r.play.GreatestLateness, line.millis("late_ms"))
-	if read, ok := line.fields["read_seq"]; ok && read != line.fields["seq"] {
+func (r *reader) addAttempt(instance string, entry logRecord, shutdownAt time.Time) {
+	r.attempts = append(r.attempts, attempt{instance, entry.at, entry.fields["addr"], shutdownAt})
+	r.ages = append(r.ages, entry.millis("confirmed_ms_ago"))
+	r.play.GreatestLateness = max(r.play.GreatestLateness, entry.millis("late_ms"))
+	if read, ok := entry.fields["read_seq"]; ok && read != entry.fields["seq"] {
 		r.play.Unhandled++
 	}
-	if line.message == recordOldListAttempt {
+	if entry.message == recordOldListAttempt {
 		r.play.OldList++
 	}
 }
 
-func (r *reader) addNotice(line logLine) {
-	version, at := line.fields["seq"], line.at.Add(-line.millis("read_ms_ago"))
-	addresses := strings.Fields(strings.Trim(line.fields["addrs"], "[]"))
-	known := r.notices[version]
-	if known == nil {
-		r.notices[version] = &notice{at, addresses}
-		return
-	}
-	if at.Before(known.at) {
-		known.at = at
-	}
-	for _, address := range addresses {
-		if !slices.Contains(known.addresses, address) {
-			known.addresses = append(known.addresses, address)
-		}
+func (r *reader) addNotice(instance string, entry logRecord) {
+	at := entry.at.Add(-entry.millis("read_ms_ago"))
+	addresses := strings.Fields(strings.Trim(entry.fields["addrs"], "[]"))
+	r.notices = append(r.notices, notice{instance, at, addresses})
+	version := entry.fields["seq"]
+	if first, known := r.firstRead[version]; !known || at.Before(first) {
+		r.firstRead[version] = at
 	}
 }
 
@@ -194,8 +190,8 @@
 
 // beganAfterNotice reports whether an attempt began later than a time after a notice that came since the signal to stop.
 func (r *reader) beganAfterNotice(a attempt, later time.Duration) bool {
-	for _, notice := range r.notices {
-		if notice.at.After(a.shutdownAt) && a.at.Sub(notice.at) > later {
+	for _, firstRead := range r.firstRead {
+		if firstRead.After(a.shutdownAt) && a.at.Sub(firstRead) > later {
 			return true
 		}
 	}
@@ -207,24 +203,31 @@
 	r.play.ClosestAttempt, r.play.LatestAttempt = none, none
 	for _, notice := range r.notices {
 		for _, address := range notice.addresses {
-			last := none
-			for _, attempt := range r.attempts {
-				after := attempt.at.Sub(notice.at)
-				if attempt.address != address || after > reuse {
-					continue
-				}
-				if distance := after.Abs(); last == none || distance < last {
-					last = distance
-				}
-				r.play.LatestAttempt = max(r.play.LatestAttempt, after)
-			}
-			if last != none && (r.play.ClosestAttempt == none || last < r.play.ClosestAttempt) {
-				r.play.ClosestAttempt = last
+			closest, latest := r.attemptsAt(address, notice, reuse)
+			r.play.LatestAttempt = max(r.play.LatestAttempt, latest)
+			if closest != none && (r.play.ClosestAttempt == none || closest < r.play.ClosestAttempt) {
+				r.play.ClosestAttempt = closest
 			}
 		}
 	}
 }
 
+// attemptsAt returns how close to a notice, and how late after it, an attempt of its instance at an address began.
+func (r *reader) attemptsAt(address string, notice notice, reuse time.Duration) (closest, latest time.Duration) {
+	closest, latest = none, none
+	for _, attempt := range r.attempts {
+		after := attempt.at.Sub(notice.at)
+		if attempt.instance != notice.instance || attempt.address != address || after > reuse {
+			continue
+		}
+		if distance := after.Abs(); closest == none || distance < closest {
+			closest = distance
+		}
+		latest = max(latest, after)
+	}
+	return closest, latest
+}
+
 // Print writes the play's line.
 func (p Play) Print(out io.Writer) error {
 	_, err := fmt.Fprintf(out, "%s: %d processes, %d attempts after SIGTERM, %d of them after a notice, %d later than the grace after it; "+
--- a/internal/exposure/logline.go
+++ b/internal/exposure/logrecord.go
@@ -6,25 +6,25 @@
 	"time"
 )
 
-// logLine is a record of an instance's log in the text form of log/slog.
-type logLine struct {
+// logRecord is a record of an instance's log in the text form of log/slog.
+type logRecord struct {
 	at      time.Time
 	message string
 	fields  map[string]string // the other keys
 }
 
-// parseLogLine reads a line; what stands before its first "time=" is passed over. False: it is no record.
-func parseLogLine(text string) (logLine, bool) {
+// parseRecord reads a line; what stands before its first "time=" is passed over. False: it is no record.
+func parseRecord(text string) (logRecord, bool) {
 	start := strings.Index(text, "time=")
 	if start < 0 {
-		return logLine{}, false
+		return logRecord{}, false
 	}
 	fields := parseFields(text[start:])
 	at, err := time.Parse(time.RFC3339Nano, fields["time"])
 	if err != nil {
-		return logLine{}, false
+		return logRecord{}, false
 	}
-	return logLine{at: at, message: fields["msg"], fields: fields}, true
+	return logRecord{at: at, message: fields["msg"], fields: fields}, true
 }
 
 // parseFields reads pairs key=value, of which a value with spaces is quoted. It ends where the text has another form.
@@ -47,7 +47,7 @@
 }
 
 // millis is a field that counts milliseconds; 0 if it is not there.
-func (l logLine) millis(key string) time.Duration {
-	count, _ := strconv.ParseInt(l.fields[key], 10, 64)
+func (r logRecord) millis(key string) time.Duration {
+	count, _ := strconv.ParseInt(r.fields[key], 10, 64)
 	return time.Duration(count) * time.Millisecond
 }
