A late event loop hears of drains first, and a grace counts from the notice's arrival

Callers saw: an instance whose event loop is late by half a drain grace or more begins requests at a backend whose grace is over; where that ends meanwhile they are cut off. Cause: a notice lies in the queue behind requests and dials that lead to attempts; a batch has one time, read before it, by which isObsolete compares; and the grace counts from the handling of the notice, however long it lay. Change: messages of the endpoint list have a queue of their own that is emptied before each other message and before timers; each message has its own time; EndpointsUpdate says when the notice reached the machine, by TCP_INFO, and notUpSince is that time.

--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -15,6 +15,7 @@
 	"sandyard/decision"
 	"sandyard/internal/http1"
 	"sandyard/internal/platform"
+	"sandyard/proxy"
 )
 
 // The deadlines of the watch. docs/design/platform.md has the sums that must stay under the platform's bounds;
@@ -72,6 +73,7 @@
 		version:        version,
 		endpoints:      map[string]config.Endpoint{},
 	}
+	w.readVersion.Store(version)
 	for _, e := range s.cfg.Endpoints {
 		w.endpoints[e.Name] = e
 	}
@@ -150,7 +152,7 @@
 	socket.write(fmt.Appendf(nil, "GET /v1/endpoints?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.version, address))
 	body := newWatchBody(socket, func() { // nothing has changed since the version that is held
 		received = true
-		w.confirm(socket, nil)
+		w.server.postEndpoints(w.confirmation(socket, nil))
 	})
 	messages := json.NewDecoder(body)
 	for {
@@ -252,12 +254,13 @@
 	departed := w.holdEndpoints(endpoints, update.Full)
 	w.version = update.Version
 	w.readVersion.Store(update.Version)
+	confirmed := w.confirmation(socket, departed)
+	change := proxy.EndpointsUpdate{Endpoints: endpoints, NotifiedAt: confirmed.arrivedAt, Origin: w.server.clockOrigin()}
 	if update.Full {
-		w.server.post(endpointsReplaced{endpoints})
+		w.server.postEndpoints(endpointsReplaced{change}, confirmed)
 	} else {
-		w.server.post(endpointsUpdated{endpoints})
+		w.server.postEndpoints(endpointsUpdated{change}, confirmed)
 	}
-	w.confirm(socket, departed)
 	w.server.log.Info("list of boxes", "seq", update.Version, "whole", update.Full, "entries", len(endpoints))
 	return nil
 }
@@ -282,13 +285,14 @@
 	return departedEndpoints(before, w.endpoints)
 }
 
-// confirm tells the event loop that discovery has said something by which the list of the held version is current.
-func (w *endpointWatch) confirm(socket *socket, departed []string) {
+// confirmation is what tells the event loop that discovery has just said something by which the list of the held version is
+// current.
+func (w *endpointWatch) confirmation(socket *socket, departed []string) endpointsConfirmed {
 	readAt := w.server.now()
-	w.server.post(endpointsConfirmed{
+	return endpointsConfirmed{
 		version:   w.version,
 		readAt:    readAt,
 		arrivedAt: readAt - inputAge(socket.raw),
 		departed:  departed,
-	})
+	}
 }
--- a/internal/server/drain_order_test.go
+++ b/internal/server/drain_order_test.go
@@ -181,16 +181,18 @@
 	return none
 }
 
-// findQueued finds the first message of a type in the queue, and takes it out if that is wanted.
+// findQueued finds the first message of a type in the queues, and takes it out if that is wanted.
 func findQueued[M message](r *gateway, take bool) (found M, ok bool) {
 	r.server.queueMu.Lock()
 	defer r.server.queueMu.Unlock()
-	for i, m := range r.server.queue {
-		if found, ok = m.(M); ok {
-			if take {
-				r.server.queue = slices.Delete(r.server.queue, i, i+1)
+	for _, queue := range []*[]message{&r.server.queue, &r.server.endpointQueue} {
+		for i, m := range *queue {
+			if found, ok = m.(M); ok {
+				if take {
+					*queue = slices.Delete(*queue, i, i+1)
+				}
+				return found, true
 			}
-			return found, true
 		}
 	}
 	return found, false
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -31,16 +31,35 @@
 		return false
 	}
 	s.queue = append(s.queue, m)
-	if s.loopIdle {
-		s.loopIdle = false
-		select {
-		case s.wakeLoop <- struct{}{}:
-		default:
-		}
-	}
+	s.wakeLoopLocked()
 	return true
 }
 
+// wakeLoopLocked wakes the event loop if it waits, or is about to wait, for a message.
+func (s *Server) wakeLoopLocked() {
+	if !s.loopIdle {
+		return
+	}
+	s.loopIdle = false
+	select {
+	case s.wakeLoop <- struct{}{}:
+	default:
+	}
+}
+
+// postEndpoints queues messages of the endpoint list, in their order. They are handled ahead of all others, before the next
+// one: an attempt that is decided on, or begins, after a message was read goes by what it says.
+func (s *Server) postEndpoints(messages ...message) {
+	s.queueMu.Lock()
+	defer s.queueMu.Unlock()
+	if s.loopEnded {
+		return
+	}
+	s.endpointQueue = append(s.endpointQueue, messages...)
+	s.endpointsQueued.Store(true)
+	s.wakeLoopLocked()
+}
+
 // eventLoop owns the instance: it takes what is queued, hands it over in order, carries out the effects of each message
 // before the next, and keeps the instance's timers. It waits for no peer (see carryOutEffects). Only Serve runs it.
 func (s *Server) eventLoop(stop <-chan struct{}) {
@@ -50,17 +69,13 @@
 	var batch []message
 	for {
 		batch = s.takeQueue(batch)
-		now := s.now() // one time for the whole batch, and for the timers after it
 		for i, m := range batch {
-			m.apply(s, now)
-			s.carryOutEffects(now)
+			s.handleEndpointMessages()
+			s.handleMessage(m)
 			batch[i] = nil // the array is used again: what it holds would not be freed
 		}
-		if due := s.instance.NextTimer(); due <= now {
-			s.noteLateness(now - due)
-			s.instance.Tick(now)
-			s.carryOutEffects(now)
-		}
+		s.handleEndpointMessages()
+		s.fireTimers()
 		if len(batch) > 0 {
 			continue
 		}
@@ -78,6 +93,39 @@
 	}
 }
 
+// handleMessage hands a message over and carries out what follows. Each has a time of its own: a batch, or one message in it,
+// can take long on a busy machine.
+func (s *Server) handleMessage(m message) {
+	now := s.now()
+	m.apply(s, now)
+	s.carryOutEffects(now)
+}
+
+// handleEndpointMessages hands over the messages of the endpoint list that are queued.
+func (s *Server) handleEndpointMessages() {
+	if !s.endpointsQueued.Load() {
+		return
+	}
+	s.queueMu.Lock()
+	messages := s.endpointQueue
+	s.endpointQueue = nil
+	s.endpointsQueued.Store(false)
+	s.queueMu.Unlock()
+	for _, m := range messages {
+		s.handleMessage(m)
+	}
+}
+
+// fireTimers does what is due.
+func (s *Server) fireTimers() {
+	now := s.now()
+	if due := s.instance.NextTimer(); due <= now {
+		s.noteLateness(now - due)
+		s.instance.Tick(now)
+		s.carryOutEffects(now)
+	}
+}
+
 // takeQueue returns what is queued, and leaves the array of the batch before for what comes next. An empty batch marks the
 // loop idle: the next message wakes it.
 func (s *Server) takeQueue(last []message) []message {
--- a/internal/server/filewatch.go
+++ b/internal/server/filewatch.go
@@ -9,6 +9,7 @@
 	"github.com/fsnotify/fsnotify"
 
 	"sandyard/config"
+	"sandyard/proxy"
 )
 
 // endpointWatchFunc follows the endpoint list until its context ends.
@@ -18,7 +19,7 @@
 // discovery or in a file.
 func (s *Server) startEndpointWatch() (endpointWatchFunc, error) {
 	if s.discovery != nil {
-		s.post(endpointsReplaced{slices.Clone(s.cfg.Endpoints)})
+		s.postEndpoints(endpointsReplaced{s.endpointsUpdate(slices.Clone(s.cfg.Endpoints))})
 		return s.discovery.run, nil
 	}
 	path, err := filepath.Abs(s.cfg.EndpointsPath())
@@ -29,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.post(endpointsReplaced{s.withBackendAddresses(slices.Clone(s.cfg.Endpoints))})
+	s.postEndpoints(endpointsReplaced{s.endpointsUpdate(s.withBackendAddresses(slices.Clone(s.cfg.Endpoints)))})
 	s.readEndpointsFile() // it may have changed since the configuration was read
 	return func(ctx context.Context) {
 		defer watcher.Close()
@@ -84,14 +85,19 @@
 		endpoints, err := loadEndpoints(path)
 		if err != nil {
 			s.log.Error("list of boxes: the last one stays in force", "error", err)
-			s.post(endpointPollFailed{})
+			s.postEndpoints(endpointPollFailed{})
 			return
 		}
-		s.post(endpointsReplaced{s.withBackendAddresses(endpoints)})
+		s.postEndpoints(endpointsReplaced{s.endpointsUpdate(s.withBackendAddresses(endpoints))})
 		s.log.Info("list of boxes", "file", path, "boxes", len(endpoints))
 	})
 }
 
+// endpointsUpdate is an update of which the instance is notified now.
+func (s *Server) endpointsUpdate(endpoints []config.Endpoint) proxy.EndpointsUpdate {
+	return proxy.EndpointsUpdate{Endpoints: endpoints, NotifiedAt: s.now(), Origin: s.clockOrigin()}
+}
+
 func loadEndpoints(path string) ([]config.Endpoint, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/server/message.go
+++ b/internal/server/message.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"sandyard/config"
 	"sandyard/proxy"
 )
 
@@ -106,17 +105,17 @@
 // endpointsReplaced is a whole endpoint list: what it leaves out is removed. A removal takes effect within this message: no
 // attempt begins any more at an endpoint that was up, not even one that was decided before (isObsolete in
 // proxy/attempts.go).
-type endpointsReplaced struct{ endpoints []config.Endpoint }
+type endpointsReplaced struct{ update proxy.EndpointsUpdate }
 
 func (m endpointsReplaced) apply(s *Server, now time.Duration) {
-	s.instance.ReplaceEndpoints(now, m.endpoints, s.clockOrigin())
+	s.instance.ReplaceEndpoints(now, m.update)
 }
 
 // endpointsUpdated is the entries of the endpoint list that have changed.
-type endpointsUpdated struct{ endpoints []config.Endpoint }
+type endpointsUpdated struct{ update proxy.EndpointsUpdate }
 
 func (m endpointsUpdated) apply(s *Server, now time.Duration) {
-	s.instance.UpdateEndpoints(now, m.endpoints, s.clockOrigin())
+	s.instance.UpdateEndpoints(now, m.update)
 }
 
 // endpointsConfirmed tells that discovery has said something by which the list of this version is current: a message or a
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -76,12 +76,15 @@
 	shutdownDeadline time.Time   // set at step 1, before the accept loop ends
 
 	// queueMu guards the queue of the event loop and its state.
-	queueMu    sync.Mutex
-	queue      []message
-	loopIdle   bool          // the loop waits for wakeLoop
-	loopEnded  bool          // messages are dropped
-	queueSpace sync.Cond     // on queueMu: signalled when accepting may go on
-	wakeLoop   chan struct{} // buffered, capacity 1: one wake-up covers all messages queued until then
+	queueMu       sync.Mutex
+	queue         []message
+	endpointQueue []message     // of the endpoint list, which go ahead of those in queue
+	loopIdle      bool          // the loop waits for wakeLoop
+	loopEnded     bool          // messages are dropped
+	queueSpace    sync.Cond     // on queueMu: signalled when accepting may go on
+	wakeLoop      chan struct{} // buffered, capacity 1: one wake-up covers all messages queued until then
+
+	endpointsQueued atomic.Bool // endpointQueue has messages; set and cleared under queueMu
 
 	endpointsFileMu sync.Mutex // held through a reading of the endpoint file, so that readings are handed over in their order
 
--- a/internal/simulation/instance.go
+++ b/internal/simulation/instance.go
@@ -181,6 +181,10 @@
 			return
 		}
 		inst.sim.recordEndpointView(inst, endpoints)
-		inst.core.ReplaceEndpoints(inst.now(), endpoints, epoch.Add(inst.sim.now-inst.now()))
+		inst.core.ReplaceEndpoints(inst.now(), proxy.EndpointsUpdate{
+			Endpoints:  endpoints,
+			NotifiedAt: inst.now(),
+			Origin:     epoch.Add(inst.sim.now - inst.now()),
+		})
 	})
 }
--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -12,7 +12,7 @@
 // was forgotten would have its effect twice.
 const usableKeyLife = 0.95
 
-// drainGraceDivisor sets the part of a drain grace, from when the instance learnt that a backend is not up, within which a
+// drainGraceDivisor sets the part of a drain grace, from when the instance was notified that a backend is not up, within which a
 // decided attempt may still begin there: the first half. The other half is for the request to reach the backend.
 const drainGraceDivisor = 2
 
--- a/proxy/endpoints.go
+++ b/proxy/endpoints.go
@@ -18,7 +18,7 @@
 	idleConns      []*BackendConn   // the last used is the last
 	connCount      int              // connections to it, idle, busy and being made
 	listed         bool             // the endpoint list has it
-	notUpSince     time.Duration    // when the instance learnt that it is not up any more
+	notUpSince     time.Duration    // when the instance was notified that it is not up any more
 	roundTrip      roundTripEstimate
 }
 
@@ -27,18 +27,27 @@
 	return backend.addr == conn.Addr && time.Time(backend.processStarted).Equal(time.Time(conn.processStarted))
 }
 
-// ReplaceEndpoints takes a whole endpoint list in: backends that it leaves out are removed. origin is the calendar time at
-// which the instance's clock stood at zero; the starts of processes are calendar times.
-func (inst *Instance) ReplaceEndpoints(now time.Duration, endpoints []config.Endpoint, origin time.Time) {
+// EndpointsUpdate is a message from the source of the endpoint list.
+type EndpointsUpdate struct {
+	Endpoints []config.Endpoint
+	// NotifiedAt is when the message reached the instance's machine. It may have waited since then, to be read and to be
+	// handled: the grace of what it takes out of use counts from here.
+	NotifiedAt time.Duration
+	// Origin is the calendar time at which the instance's clock stood at zero; the starts of processes are calendar times.
+	Origin time.Time
+}
+
+// ReplaceEndpoints takes a whole endpoint list in: backends that it leaves out are removed.
+func (inst *Instance) ReplaceEndpoints(now time.Duration, update EndpointsUpdate) {
 	for _, backend := range inst.backendsInOrder {
 		backend.listed = false
 	}
-	inst.applyEndpoints(now, endpoints, origin, decision.EndpointsChanged{Full: true})
+	inst.applyEndpoints(now, update, decision.EndpointsChanged{Full: true})
 }
 
 // UpdateEndpoints takes in what has changed of the endpoint list; other backends stay as they are.
-func (inst *Instance) UpdateEndpoints(now time.Duration, endpoints []config.Endpoint, origin time.Time) {
-	inst.applyEndpoints(now, endpoints, origin, decision.EndpointsChanged{})
+func (inst *Instance) UpdateEndpoints(now time.Duration, update EndpointsUpdate) {
+	inst.applyEndpoints(now, update, decision.EndpointsChanged{})
 }
 
 // EndpointPollFailed reports that the endpoint list could not be read; the last one stays in force.
@@ -47,26 +56,27 @@
 	inst.handleAndDrain(decision.EndpointsChanged{Failed: true})
 }
 
-// applyEndpoints takes updates in and hands them to the decision gateway as one event, change.
-func (inst *Instance) applyEndpoints(now time.Duration, updates []config.Endpoint, origin time.Time, change decision.EndpointsChanged) {
+// applyEndpoints takes an update in and hands it to the decision gateway as one event, change.
+func (inst *Instance) applyEndpoints(now time.Duration, update EndpointsUpdate, change decision.EndpointsChanged) {
 	inst.advanceTo(now)
-	for i := range updates {
-		update := &updates[i]
-		backend := inst.findOrAddBackend(update)
+	notifiedAt := min(update.NotifiedAt, inst.now)
+	for i := range update.Endpoints {
+		entry := &update.Endpoints[i]
+		backend := inst.findOrAddBackend(entry)
 		if backend == nil {
 			continue
 		}
-		inst.applyEndpoint(backend, update, origin)
+		inst.applyEndpoint(backend, entry, update.Origin, notifiedAt)
 		removed := backend.endpoint.State == decision.Removed
 		// A change that removes a backend has it forgotten with its last connection. One that a whole list names as removed
 		// is kept until a list leaves it out.
 		backend.listed = change.Full || !removed
 		change.Endpoints = append(change.Endpoints, backend.endpoint)
 		if inst.RecordDecision != nil {
-			inst.endpointNames = append(inst.endpointNames, update.Name)
+			inst.endpointNames = append(inst.endpointNames, entry.Name)
 		}
 	}
-	inst.retireBackends()
+	inst.retireBackends(notifiedAt)
 	inst.handle(change, 0)
 	inst.endpointNames = nil
 	inst.drainEvents()
@@ -90,7 +100,7 @@
 
 // applyEndpoint takes an update of one backend in. Connections to a process that is no longer at the backend's address are
 // closed where they are idle; on the others no further attempt begins.
-func (inst *Instance) applyEndpoint(backend *backendEntry, update *config.Endpoint, origin time.Time) {
+func (inst *Instance) applyEndpoint(backend *backendEntry, update *config.Endpoint, origin time.Time, notifiedAt time.Duration) {
 	addressChanged := backend.addr != update.Address
 	processChanged := addressChanged || !time.Time(backend.processStarted).Equal(time.Time(update.Started))
 	backend.addr, backend.processStarted = update.Address, update.Started
@@ -112,17 +122,17 @@
 		endpoint.Started = max(0, startedAt.Sub(origin))
 	}
 	if endpoint.State != decision.Up && backend.endpoint.State == decision.Up {
-		backend.notUpSince = inst.now
+		backend.notUpSince = notifiedAt
 	}
 	backend.endpoint = endpoint
 }
 
 // retireBackends marks backends that the list has left out as removed, those that were draining as well, and closes the idle
 // connections of all that are not up. Attempts that were written are let finish; isObsolete drops those that were not.
-func (inst *Instance) retireBackends() {
+func (inst *Instance) retireBackends(notifiedAt time.Duration) {
 	for _, backend := range slices.Clone(inst.backendsInOrder) { // closing may remove a backend
 		if !backend.listed && backend.endpoint.State == decision.Up {
-			backend.notUpSince = inst.now
+			backend.notUpSince = notifiedAt
 		}
 		if !backend.listed {
 			backend.endpoint.State = decision.Removed
