No attempt begins while a message of discovery has lain unread for half of a drain grace

Callers saw: with the watch's goroutine held up, by a log that is not taken or by a processor that it waits for, an instance goes on sending requests to backends that drain, as long as that lasts. Cause: the check before an attempt's first byte knows only of messages that were handled; what has reached the machine and lies in the watch's socket counts as told. Change: just before a first byte the event loop looks, without waiting, whether the watch has unread bytes and since when (TCP_INFO; an earlier finding holds as long as nothing was read); from half of the grace on the attempt ends as not sent, and its request is rejected or tried again.

--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -55,6 +55,7 @@
 	server *Server
 
 	readVersion atomic.Uint64 // of the last message that was read, which may still wait for the event loop
+	input       watchInput
 
 	mu             sync.Mutex // guards address and addressChanged
 	address        string     // host:port
@@ -147,10 +148,12 @@
 	}
 	defer socket.close()
 	defer socket.releaseBuffer()
+	w.input.socket.Store(socket)
+	defer w.input.socket.Store(nil)
 	stop := context.AfterFunc(ctx, socket.close)
 	defer stop()
 	socket.write(fmt.Appendf(nil, "GET /v1/endpoints?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.version, address))
-	body := newWatchBody(socket, func() { // nothing has changed since the version that is held
+	body := newWatchBody(socket, &w.input, func() { // nothing has changed since the version that is held
 		received = true
 		w.server.postEndpoints(w.confirmation(socket, nil))
 	})
@@ -172,6 +175,7 @@
 // however it is laid out and wherever it is cut, with empty lines between.
 type watchBody struct {
 	socket       *socket
+	input        *watchInput
 	responses    *http1.Reader
 	unparsed     []byte // bytes of the connection
 	unread       []byte // bytes of the body
@@ -179,8 +183,8 @@
 	onHeartbeat  func() // called for each part that is blank while no message has begun
 }
 
-func newWatchBody(socket *socket, onHeartbeat func()) *watchBody {
-	body := &watchBody{socket: socket, responses: http1.NewResponses(http1.Limits{}), onHeartbeat: onHeartbeat}
+func newWatchBody(socket *socket, input *watchInput, onHeartbeat func()) *watchBody {
+	body := &watchBody{socket: socket, input: input, responses: http1.NewResponses(http1.Limits{}), onHeartbeat: onHeartbeat}
 	body.responses.Expect("GET")
 	return body
 }
@@ -212,7 +216,7 @@
 	switch part.Kind {
 	case http1.More:
 		b.socket.conn.SetReadDeadline(time.Now().Add(watchSilenceTimeout))
-		if b.unparsed, err = b.socket.read(); err != nil {
+		if b.unparsed, err = b.input.read(b.socket); err != nil {
 			return err
 		}
 	case http1.HeadEnd:
--- a/internal/server/drain_late_test.go
+++ b/internal/server/drain_late_test.go
@@ -52,6 +52,16 @@
 			rig.server.post(connected)
 			return status
 		}},
+		{"the notice lies unread in the watch's socket", func(rig *drainRig) <-chan int {
+			release := rig.holdWatch()
+			rig.notify()
+			rig.waitPastGrace()
+			status := rig.send(2)
+			answered := make(chan int, 1)
+			answered <- <-status
+			release()
+			return answered
+		}},
 	}
 }
 
@@ -89,8 +99,17 @@
 	time.Sleep(time.Until(rig.noticedAt.Add(testDrainGrace + 2*socketSlack)))
 }
 
+// holdWatch holds the watch of discovery up, by the log record of a message that it has handed over.
+func (rig *drainRig) holdWatch() (release func()) {
+	held, release := rig.log.holdAt("list of boxes")
+	rig.Cleanup(release)
+	writeChunk(rig.watch, `{"seq":7,"whole":false,"hosts":[]}`+"\n")
+	<-held
+	return release
+}
+
 // TestLateInstanceSendsNothingToDrainingBackend: an instance that was late began attempts at a backend that had been
-// draining for more than its grace: the notice lay behind others in the queue, or the clock had been read long
+// draining for more than its grace: the notice lay behind others in the queue, or unread, or the clock had been read long
 // before, while what leads to an attempt was handled.
 func TestLateInstanceSendsNothingToDrainingBackend(t *testing.T) {
 	for _, late := range lateInstances() {
--- a/internal/server/rig_test.go
+++ b/internal/server/rig_test.go
@@ -208,6 +208,8 @@
 	served    chan error
 	server    *Server
 	logOffset int // in the log: what was written before a file was replaced tells nothing of that
+	// beforeServe, if set, is called when the instance listens, before it runs.
+	beforeServe func()
 }
 
 // logBuffer keeps a log and lets a test wait for a record in it.
@@ -215,6 +217,50 @@
 	mu   sync.Mutex
 	text strings.Builder
 	more chan struct{}
+	hold *logHold // nil: nobody is held
+}
+
+// logHold holds up the goroutine that logs the next record with a message.
+type logHold struct {
+	message        string
+	held, released chan struct{}
+}
+
+// holdAt holds up the goroutine that logs the next record with a message, before it is written, until release is called;
+// held is closed once it does. Other goroutines log on.
+func (l *logBuffer) holdAt(message string) (held <-chan struct{}, release func()) {
+	hold := &logHold{message: message, held: make(chan struct{}), released: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hold = hold
+	return hold.held, sync.OnceFunc(func() { close(hold.released) })
+}
+
+// takeHold returns the hold that a record meets, once; nil: none.
+func (l *logBuffer) takeHold(message string) *logHold {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	hold := l.hold
+	if hold == nil || hold.message != message {
+		return nil
+	}
+	l.hold = nil
+	return hold
+}
+
+// holdingHandler is a handler of log records that heeds the holds of a logBuffer. It holds no lock meanwhile.
+type holdingHandler struct {
+	slog.Handler
+	log *logBuffer
+}
+
+// Handle implements slog.Handler.
+func (h holdingHandler) Handle(ctx context.Context, record slog.Record) error {
+	if hold := h.log.takeHold(record.Message); hold != nil {
+		close(hold.held)
+		<-hold.released
+	}
+	return h.Handler.Handle(ctx, record)
 }
 
 func (l *logBuffer) Write(b []byte) (int, error) {
@@ -327,7 +373,7 @@
 // serve runs an instance until the test is over.
 func (r *gateway) serve(cfg *config.Config, opt Options) {
 	r.Helper()
-	opt.Log = slog.New(slog.NewTextHandler(r.log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	opt.Log = slog.New(holdingHandler{slog.NewTextHandler(r.log, &slog.HandlerOptions{Level: slog.LevelDebug}), r.log})
 	var err error
 	if r.server, err = Listen(cfg, "127.0.0.1:0", opt); err != nil {
 		r.Fatal(err)
@@ -335,6 +381,9 @@
 	r.addr = r.server.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
+	if r.beforeServe != nil {
+		r.beforeServe()
+	}
 	go func() { r.served <- r.server.Serve(ctx) }()
 	r.Cleanup(func() {
 		cancel()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -117,6 +117,9 @@
 	if s.instance, err = proxy.NewInstance(s.shared, opt.Seed, s.startedAt); err != nil {
 		return nil, err
 	}
+	if s.discovery != nil {
+		s.instance.EndpointsUnreadFor = func() time.Duration { return s.discovery.input.unreadFor(s.now()) }
+	}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -101,6 +101,8 @@
 		return true
 	case backend.endpoint.State != decision.Up && inst.now >= backend.notUpSince+inst.shared.Config.Settings.DrainGrace/drainGraceDivisor:
 		return true // its drain grace may end before the request is there
+	case inst.endpointsOutdated(): // what waits to be read may be that the backend drains
+		return true
 	case ex.isProbe:
 		return false
 	case ex.state != Forwarding || ex.clientLeft.Load(): // answered, or nobody waits for it; some deployments don't cancel attempts
@@ -111,6 +113,16 @@
 	return inst.keyMayHaveExpired(ex, index)
 }
 
+// endpointsOutdated reports whether a message of the endpoint list has waited for so long that a backend's drain grace may
+// end before a request is there.
+func (inst *Instance) endpointsOutdated() bool {
+	if inst.EndpointsUnreadFor == nil {
+		return false
+	}
+	unreadFor := inst.EndpointsUnreadFor()
+	return unreadFor > 0 && unreadFor >= inst.shared.Config.Settings.DrainGrace/drainGraceDivisor
+}
+
 // keyMayHaveExpired reports whether an attempt would repeat what an earlier one may have run, so late that backends may
 // have forgotten its idempotency key by the time it arrives. It shows as an effect that happens twice.
 func (inst *Instance) keyMayHaveExpired(ex *Exchange, index int) bool {
