A new process takes discovery for silent only if its watch waits and nothing lies unread

Callers saw: a process that starts beside load goes by the old list of its configuration 2 s after its start, though discovery has answered at once, and sends requests to backends that are gone. Cause: a timer alone lets the list be used; it knows neither whether the watch has come to run nor whether an answer lies unread or not handed over, and an entry that can't be read was logged before the rest of its message was handed over. Evidence: TestNewProcessSendsNothingToRemovedBackend holds up the watch before it begins, and by that log record; before this commit both subtests fail, the first byte reaches the removed backend 2.00 s after the start where 450 ms are allowed. Change: after the 2 s the list is used once the watch waits for discovery and has nothing unread, looked at every 20 ms; log records come after the handing over. Open: an agent that is silent for more than 2 s and then tells of backends that had left before; nothing here knows of them in time.

--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -33,6 +33,8 @@
 	// firstEndpointsTimeout is how long a new instance waits for its first endpoint list, and rejects requests; then it
 	// goes by the one in its configuration.
 	firstEndpointsTimeout = 2 * time.Second
+	// firstEndpointsPoll is how often it is checked after that whether discovery's answer lies unread.
+	firstEndpointsPoll = 20 * time.Millisecond
 )
 
 var (
@@ -95,7 +97,7 @@
 // run follows discovery until its context ends. Requests are rejected until discovery has answered, or for
 // firstEndpointsTimeout.
 func (w *endpointWatch) run(ctx context.Context) {
-	late := time.AfterFunc(firstEndpointsTimeout, func() { w.server.post(endpointsInForce{}) })
+	late := time.AfterFunc(firstEndpointsTimeout, func() { w.giveUpFirstList(ctx) })
 	defer late.Stop()
 	backoff := minWatchBackoff
 	for ctx.Err() == nil {
@@ -106,6 +108,7 @@
 		if received {
 			backoff = minWatchBackoff
 		}
+		w.input.waiting.Store(true)
 		select {
 		case <-addressChanged:
 			backoff = minWatchBackoff
@@ -114,11 +117,25 @@
 			return
 		case <-time.After(jitter(backoff)):
 		}
+		w.input.waiting.Store(false)
 		w.server.log.Warn("watch of discovery", "addr", address, "error", err, "seq", w.version)
 		backoff = min(2*backoff, maxWatchBackoff)
 	}
 }
 
+// giveUpFirstList lets the instance go by the list in its configuration, once discovery has nothing to say: its answer may
+// be there, and not read yet.
+func (w *endpointWatch) giveUpFirstList(ctx context.Context) {
+	for !w.input.isSilent() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(firstEndpointsPoll):
+		}
+	}
+	w.server.post(endpointsInForce{})
+}
+
 // jitter draws a wait between a half of d and d, so that instances that lost discovery together do not come back together.
 func jitter(d time.Duration) time.Duration {
 	return time.Duration((0.5 + rand.Float64()/2) * float64(d))
@@ -141,6 +158,7 @@
 // watchOnce runs one watch until it ends, and reports whether anything came of it.
 func (w *endpointWatch) watchOnce(ctx context.Context, address string) (received bool, err error) {
 	dialCtx, cancel := context.WithTimeout(ctx, watchDialTimeout)
+	w.input.waiting.Store(true)
 	socket, err := dialTCP(dialCtx, address, watchSilenceTimeout)
 	cancel()
 	if err != nil {
@@ -249,11 +267,8 @@
 		return nil
 	}
 	endpoints := update.Endpoints
-	for _, wrong := range update.Malformed {
-		w.server.log.Warn("list of boxes: an entry is not taken", "seq", update.Version, "error", wrong.Err)
-		if held, ok := w.endpoints[wrong.Host]; ok && update.Full {
-			endpoints = append(endpoints, held)
-		}
+	if update.Full {
+		endpoints = append(endpoints, w.heldOf(update.Malformed)...)
 	}
 	departed := w.holdEndpoints(endpoints, update.Full)
 	w.version = update.Version
@@ -265,10 +280,23 @@
 	} else {
 		w.server.postEndpoints(endpointsUpdated{change}, confirmed)
 	}
+	for _, wrong := range update.Malformed { // after the rest is handed over: a log that is held up must not hold that up
+		w.server.log.Warn("list of boxes: an entry is not taken", "seq", update.Version, "error", wrong.Err)
+	}
 	w.server.log.Info("list of boxes", "seq", update.Version, "whole", update.Full, "entries", len(endpoints))
 	return nil
 }
 
+// heldOf returns what is held of the hosts whose entries can't be read.
+func (w *endpointWatch) heldOf(malformed []platform.EndpointError) (held []config.Endpoint) {
+	for _, wrong := range malformed {
+		if endpoint, ok := w.endpoints[wrong.Host]; ok {
+			held = append(held, endpoint)
+		}
+	}
+	return held
+}
+
 // holdEndpoints keeps what a message says, and returns the addresses of the endpoints that it takes out of use.
 func (w *endpointWatch) holdEndpoints(endpoints []config.Endpoint, full bool) (departed []string) {
 	before := w.endpoints
--- a/internal/server/watchinput.go
+++ b/internal/server/watchinput.go
@@ -9,8 +9,9 @@
 // watchInput tells whether what discovery has sent waits to be read: on a busy machine, or while its goroutine is held up, the
 // watch may lie behind what has reached this machine. The goroutine of the watch notes what it does; others ask.
 type watchInput struct {
-	socket atomic.Pointer[socket] // of the watch that stands; nil: none does
-	reads  atomic.Uint64          // how often something was read
+	socket  atomic.Pointer[socket] // of the watch that stands; nil: none does
+	reads   atomic.Uint64          // how often something was read
+	waiting atomic.Bool            // the goroutine waits for discovery: for a connection, for bytes, or until it tries again
 
 	// Of the event loop, which finds unread bytes when attempts begin.
 	unreadSince time.Duration // since when they lie there; 0: the last time there were none
@@ -19,7 +20,9 @@
 
 // read reads from a watch, and notes it.
 func (in *watchInput) read(socket *socket) ([]byte, error) {
+	in.waiting.Store(true)
 	b, err := socket.read()
+	in.waiting.Store(false)
 	in.reads.Add(1)
 	return b, err
 }
@@ -38,6 +41,9 @@
 	return found
 }
 
+// isSilent reports whether discovery has nothing to say: its watch waits, and nothing lies unread.
+func (in *watchInput) isSilent() bool { return in.waiting.Load() && !hasUnread(in.socket.Load()) }
+
 // unreadFor returns for how long bytes of discovery have lain unread; 0: none do. Only the event loop calls it.
 func (in *watchInput) unreadFor(now time.Duration) time.Duration {
 	reads, socket := in.reads.Load(), in.socket.Load()
