Attempts by an old endpoint list are logged once a second at most, and counted

Change: outside of a shutdown one such record a second; old_list_attempts in "stopped" counts all of them, and during a shutdown each attempt is still logged. Measured: TestOldEndpointListIsLoggedOnceASecond fails without the condition (2 records) and passes 3 of 3 with -race beside the other tests of the record.

--- a/internal/server/endpointrecord.go
+++ b/internal/server/endpointrecord.go
@@ -12,6 +12,10 @@
 // interval of 2 s, and a moment for the heartbeat to be handled.
 const notableEndpointsAge = 2300 * time.Millisecond
 
+// oldListLogInterval is how often such an attempt is logged at the most, outside of a shutdown: while discovery is down every
+// attempt goes by an old list.
+const oldListLogInterval = time.Second
+
 // endpointRecord tells by which endpoint list an instance acts that follows discovery, and how old that list is. The age
 // counts from when the watch read what confirms the list, not from when the event loop handled it. It belongs to the event
 // loop.
@@ -20,6 +24,7 @@
 	confirmedAt time.Duration // when the watch read that, on the instance's clock; before the first time, the instance's start
 	greatestAge time.Duration // at which an attempt began
 	oldAttempts uint64        // that began by a list of notableEndpointsAge or more
+	oldLoggedAt time.Duration // when the last of them was logged outside of a shutdown
 }
 
 func (r *endpointRecord) age(now time.Duration) time.Duration { return now - r.confirmedAt }
@@ -45,9 +50,10 @@
 	old := s.endpoints.noteAttempt(now)
 	message := "attempt during shutdown"
 	if !s.shuttingDown.Load() {
-		if !old {
+		if !old || now < s.endpoints.oldLoggedAt+oldListLogInterval {
 			return
 		}
+		s.endpoints.oldLoggedAt = now
 		message = "attempt by an old endpoint list"
 	}
 	s.log.Info(message, "request", effect.Exchange.UniqueName, "addr", effect.Conn.Addr, "seq", s.endpoints.version,
--- a/internal/server/endpointrecord_test.go
+++ b/internal/server/endpointrecord_test.go
@@ -61,6 +61,24 @@
 	}
 }
 
+// TestOldEndpointListIsLoggedOnceASecond: while discovery is down each attempt goes by an old list; a record for each would
+// make the log the instance's main work.
+func TestOldEndpointListIsLoggedOnceASecond(t *testing.T) {
+	counter, _ := startCounter(t)
+	r := startNode(t, startDiscovery(t).addr, counter, 64, startNamedBackend(t, "a"))
+	r.server.post(inspection(func(*proxy.Instance, time.Duration) {
+		r.server.endpoints.confirmedAt = 0
+		r.server.endpoints.oldLoggedAt = r.server.now() + time.Minute - oldListLogInterval // the next one is logged in a minute
+	}))
+	r.requireServedBy(1, "a")
+	r.server.post(inspection(func(*proxy.Instance, time.Duration) { r.server.endpoints.oldLoggedAt = 0 }))
+	r.requireServedBy(2, "a")
+	r.waitForLoop()
+	if count := strings.Count(r.log.String(), "attempt by an old endpoint list"); count != 1 {
+		t.Errorf("%d records", count)
+	}
+}
+
 // TestAttemptRecordNamesUnhandledMessage: whether a message of discovery waited for the event loop as an attempt began could
 // not be told afterwards.
 func TestAttemptRecordNamesUnhandledMessage(t *testing.T) {
