The head of quota.go says what a split of less than one request admits

Cause: it said that over the fleet about the quota is admitted, however seldom an instance meets the customer. Change: the comment alone.

--- a/decision/quota.go
+++ b/decision/quota.go
@@ -12,9 +12,10 @@
 //
 // Where the counter can't be asked and a customer's burst is split into less than one request for each instance, no
 // instance could ever admit one. There a request is admitted by chance: once the tokens reach a share of it that is drawn
-// anew for each. The tokens go below nothing then, so that over the fleet about the quota is admitted, however seldom an
-// instance meets the customer. One that is new to an instance has had tokens there since the instance started, for
-// customerIdleTTL at most: after a time without requests as much as that may be passed beyond the burst.
+// anew for each. The tokens go below nothing then, so that over the fleet as much is admitted as the splits gather, while
+// the instances remember the customer; what a split gathers beyond one request is lost, more the seldomer an instance meets
+// the customer. One that is new to an instance has had tokens there since the instance started, for customerIdleTTL at most:
+// after a time without requests as much as that may be passed beyond the burst.
 //
 // A plan's ceiling has a bucket of its own. It may never be passed by more than its slack, also when the counter is
 // silent or has forgotten, so it is split in any case; only a part may be passed on beyond the split by asking.
