The soak tells whether a run met a departure and a later attempt in a shutdown

Change: Exposure in a run's line and in JSON: departures since SIGTERM, attempts after one, attempts past its grace, the least time between a departure and the last attempt at that backend, the grace left at the latest one. No check is changed.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -28,11 +28,15 @@
 // soakTotals are what came of the seeds so far.
 type soakTotals struct {
 	played, broken, notPlayed int
+	metCrossing               int
 }
 
 // add counts a run.
 func (t *soakTotals) add(report soak.Report) {
 	t.played++
+	if report.Exposure.MetCrossing {
+		t.metCrossing++
+	}
 	if len(report.Violations) > 0 {
 		t.broken++
 	} else if len(report.Unjudged) > 0 {
@@ -81,7 +85,8 @@
 		return err
 	}
 	if !a.json() {
-		fmt.Fprintf(c.Out, "%d seeds played, %d broke a rule, %d could not be played or judged\n", totals.played, totals.broken, totals.notPlayed)
+		fmt.Fprintf(c.Out, "%d seeds played, %d broke a rule, %d could not be played or judged; %d of the played met the crossing of a departure and a later attempt in a shutdown\n",
+			totals.played, totals.broken, totals.notPlayed, totals.metCrossing)
 	}
 	return totals.err()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,6 +35,7 @@
 	Served     int         `json:"served"`
 	Attempts   int         `json:"attempts"`
 	Late       int         `json:"attempts_after_sigterm"`
+	Exposure   Exposure    `json:"exposure"`
 	Refused    int         `json:"connections_refused"`
 	Unread     int         `json:"connections_unread"` // new ones that ended without an answer, with a crowd
 	EndedAfter float64     `json:"ended_after_s"`      // SIGTERM
@@ -190,6 +191,7 @@
 			}
 		}
 	}
+	report.Exposure = r.exposure()
 	report.Violations, report.Unjudged = r.split(r.judge())
 	report.Unread = r.record.unread
 	report.EndedAfter = (r.record.endedAt - r.record.termAt).Seconds()
@@ -200,8 +202,8 @@
 
 // Print writes a line for the run, and one for each violation.
 func (report Report) Print(out io.Writer) {
-	fmt.Fprintf(out, "seed %d: %d requests, %d served, %d attempts, %d of them after SIGTERM; ended after %.2f s; soak %d ms late, instance waited %d ms for a processor; %d broken, %d not judged\n",
-		report.Seed, report.Requests, report.Served, report.Attempts, report.Late, report.EndedAfter, report.OwnDelay, report.Waited, len(report.Violations), len(report.Unjudged))
+	fmt.Fprintf(out, "seed %d: %d requests, %d served, %d attempts, %d of them after SIGTERM; %v; ended after %.2f s; soak %d ms late, instance waited %d ms for a processor; %d broken, %d not judged\n",
+		report.Seed, report.Requests, report.Served, report.Attempts, report.Late, report.Exposure, report.EndedAfter, report.OwnDelay, report.Waited, len(report.Violations), len(report.Unjudged))
 	for _, v := range report.Violations {
 		fmt.Fprintf(out, "  BROKEN %s: %s %s, %.3f s after SIGTERM\n", v.Rule, v.Request, v.What, v.At.Seconds())
 	}
