--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -19,9 +19,10 @@
 
 // soakArgs is "sandyard-drill soak".
 type soakArgs struct {
-	Seeds   string `default:"1-20" help:"Seeds, as FROM-TO."`
-	Workers int    `default:"1" help:"Runs side by side."`
-	Keep    string `type:"path" help:"Keep the instances' logs and files in this folder." placeholder:"DIR"`
+	Seeds    string `default:"1-20" help:"Seeds, as FROM-TO."`
+	Workers  int    `default:"1" help:"Runs side by side."`
+	Scenario string `help:"Scenario of the plans; an unknown one lists them all." placeholder:"NAME"`
+	Keep     string `type:"path" help:"Keep the instances' logs and files in this folder." placeholder:"DIR"`
 	output
 }
 
@@ -69,7 +70,7 @@
 	runs.SetLimit(max(1, a.Workers))
 	for seed := first; seed <= last && ctx.Err() == nil; seed++ {
 		runs.Go(func() error {
-			report, err := soak.Run(ctx, seed, soak.Options{Command: self, LogDir: a.Keep})
+			report, err := soak.Run(ctx, seed, soak.Options{Command: self, LogDir: a.Keep, Scenario: soak.Scenario(a.Scenario)})
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,6 +33,7 @@
 // discovery is a stand-in of discovery: it serves watches at two addresses, of which the second is in use after a move.
 type discovery struct {
 	record    *record
+	framing   Framing
 	listeners [2]net.Listener
 
 	mu       sync.Mutex
@@ -49,6 +51,9 @@
 
 const noNotice = -1
 
+// notNotified is the time of a notice that is being written: after any run's end.
+const notNotified = 24 * time.Hour
+
 // watch is one that stands.
 type watch struct {
 	conn   net.Conn
@@ -57,8 +62,8 @@
 	next   int  // version of the next message
 }
 
-func startDiscovery(record *record, hosts []endpointEntry) (*discovery, error) {
-	d := &discovery{record: record, current: hosts, watches: map[*watch]struct{}{}}
+func startDiscovery(plan *Plan, record *record, hosts []endpointEntry) (*discovery, error) {
+	d := &discovery{record: record, framing: plan.Framing, current: hosts, watches: map[*watch]struct{}{}}
 	for i := range d.listeners {
 		var err error
 		if d.listeners[i], err = listen(func(conn net.Conn) { d.serve(conn, i) }); err != nil {
@@ -123,6 +128,10 @@
 	if w.silent || w.at != d.movedTo {
 		return
 	}
+	if !d.framing.isPlain() {
+		d.catchUpFramed(w)
+		return
+	}
 	for ; w.next <= len(d.messages); w.next++ {
 		message := d.messages[w.next-1]
 		text, _ := json.Marshal(message.endpointMessage)
@@ -134,11 +143,15 @@
 // writeTo writes a chunk on a watch that is not silent; mu is held.
 func (d *discovery) writeTo(w *watch, text string) {
 	if !w.silent {
-		w.conn.SetWriteDeadline(time.Now().Add(time.Second))
-		fmt.Fprintf(w.conn, "%x\r\n%s\r\n", len(text), text)
+		w.write(chunk(text))
 	}
 }
 
+func (w *watch) write(text string) {
+	w.conn.SetWriteDeadline(time.Now().Add(time.Second))
+	io.WriteString(w.conn, text)
+}
+
 // noteNotified notes that the instance was written a notice: it counts as told from now at the latest.
 func (d *discovery) noteNotified(number int) {
 	if number == noNotice {
@@ -151,15 +164,32 @@
 	})
 }
 
-// change takes a backend off the list. One that drains first and is then left out is left out by leaveOut.
+// change takes a backend off the list. One that drains first and is then left out is left out by leaveOut. The change counts
+// as told at the latest at a given time, or with its last piece where a message is written in pieces.
 func (d *discovery) change(c Change, notifiedAtLatest time.Duration) {
+	inPieces := d.framing.Pieces > 1
 	number := noNotice
 	d.record.update(func() {
 		number = len(d.record.notices)
 		d.record.notices = append(d.record.notices, notice{c, notifiedAtLatest})
+		if inPieces {
+			d.record.notices[number].notifiedAt = notNotified
+		}
 	})
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.publishChange(c, number)
+	if inPieces {
+		latest := max(notifiedAtLatest, d.record.now())
+		d.record.update(func() {
+			notified := &d.record.notices[number].notifiedAt
+			*notified = min(*notified, latest)
+		})
+	}
+}
+
+// publishChange publishes a change; mu is held.
+func (d *discovery) publishChange(c Change, number int) {
 	entry := &d.current[c.Backend]
 	switch c.Kind {
 	case Drains, DrainOut:
@@ -195,13 +225,21 @@
 
 // publish gives a message the next version and writes it on all watches; mu is held.
 func (d *discovery) publish(message endpointMessage, notice int) {
-	message.Version = len(d.messages) + 1
-	d.messages = append(d.messages, published{message, notice})
+	if d.framing.Filler > 0 {
+		d.append(d.framing.fillerMessage(), noNotice)
+	}
+	d.append(message, notice)
 	for w := range d.watches {
 		d.catchUp(w)
 	}
 }
 
+// append gives a message the next version; mu is held.
+func (d *discovery) append(message endpointMessage, notice int) {
+	message.Version = len(d.messages) + 1
+	d.messages = append(d.messages, published{message, notice})
+}
+
 // breakWatches closes the watches that stand.
 func (d *discovery) breakWatches() {
 	d.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -40,6 +40,9 @@
 	MovesAtReload   bool // SIGHUP moves discovery and counter
 	CounterSilentAt time.Duration
 	ChecksIdle      bool // before SIGTERM it is checked that an idle instance gives back what it took
+
+	// Of scenarios.
+	Framing Framing
 }
 
 // Signal is sent to the instance at a time.
@@ -200,5 +203,8 @@
 	if p.Watch != NoWatchFault {
 		fmt.Fprintf(&b, "; the watch %s at %v", p.Watch, p.WatchFaultAt)
 	}
+	if !p.Framing.isPlain() {
+		fmt.Fprintf(&b, "; %v", p.Framing)
+	}
 	return b.String()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,11 +26,14 @@
 	Command func(program string) (exe string, args []string)
 	// LogDir keeps the logs and configurations; empty: a temporary folder that is removed.
 	LogDir string
+	// Scenario changes the plans.
+	Scenario Scenario
 }
 
 // Report is what a run has shown.
 type Report struct {
 	Seed       uint64      `json:"seed"`
+	Scenario   Scenario    `json:"scenario,omitempty"`
 	Requests   int         `json:"requests"`
 	Served     int         `json:"served"`
 	Attempts   int         `json:"attempts"`
@@ -71,7 +74,11 @@
 
 // Run plays the plan of a seed. The error is one of the run itself: it could not be played.
 func Run(ctx context.Context, seed uint64, options Options) (Report, error) {
-	r := &run{plan: Draw(seed), record: newRecord(), options: options, dir: options.LogDir, backendsEnded: make(chan struct{})}
+	plan, err := DrawScenario(seed, options.Scenario)
+	if err != nil {
+		return Report{}, err
+	}
+	r := &run{plan: plan, record: newRecord(), options: options, dir: options.LogDir, backendsEnded: make(chan struct{})}
 	if r.dir == "" {
 		dir, err := os.MkdirTemp("", "sandyard-soak-")
 		if err != nil {
@@ -106,7 +113,7 @@
 		hosts = append(hosts, endpointEntry{Host: fmt.Sprintf("backend-%d", i), Dial: backend.listener.Addr().String(), Health: "active", Share: 1})
 	}
 	var err error
-	if r.discovery, err = startDiscovery(r.record, hosts); err != nil {
+	if r.discovery, err = startDiscovery(r.plan, r.record, hosts); err != nil {
 		return err
 	}
 	if r.counter, err = startCounter(); err != nil {
@@ -179,7 +186,7 @@
 func (r *run) report() Report {
 	r.record.mu.Lock()
 	defer r.record.mu.Unlock()
-	report := Report{Seed: r.plan.Seed, Requests: len(r.record.order), Refused: r.record.refused, Plan: r.plan.String()}
+	report := Report{Seed: r.plan.Seed, Scenario: r.options.Scenario, Requests: len(r.record.order), Refused: r.record.refused, Plan: r.plan.String()}
 	for _, req := range r.record.order {
 		if req.status == 200 {
 			report.Served++
@@ -200,10 +207,18 @@
 	return report
 }
 
+// name is the seed, with the scenario if there is one.
+func (report Report) name() string {
+	if report.Scenario == NoScenario {
+		return fmt.Sprintf("seed %d", report.Seed)
+	}
+	return fmt.Sprintf("seed %d of %s", report.Seed, report.Scenario)
+}
+
 // Print writes a line for the run, and one for each violation.
 func (report Report) Print(out io.Writer) {
-	fmt.Fprintf(out, "seed %d: %d requests, %d served, %d attempts, %d of them after SIGTERM; %v; ended after %.2f s; soak %d ms late, instance waited %d ms for a processor; %d broken, %d not judged\n",
-		report.Seed, report.Requests, report.Served, report.Attempts, report.Late, report.Exposure, report.EndedAfter, report.OwnDelay, report.Waited, len(report.Violations), len(report.Unjudged))
+	fmt.Fprintf(out, "%v: %d requests, %d served, %d attempts, %d of them after SIGTERM; %v; ended after %.2f s; soak %d ms late, instance waited %d ms for a processor; %d broken, %d not judged\n",
+		report.name(), report.Requests, report.Served, report.Attempts, report.Late, report.Exposure, report.EndedAfter, report.OwnDelay, report.Waited, len(report.Violations), len(report.Unjudged))
 	for _, v := range report.Violations {
 		fmt.Fprintf(out, "  BROKEN %s: %s %s, %.3f s after SIGTERM\n", v.Rule, v.Request, v.What, v.At.Seconds())
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"reflect"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"golang.org/x/sync/errgroup"
@@ -31,18 +32,36 @@
 
 // play plays seeds whose plan is wanted and hands on their reports.
 func play(t *testing.T, seeds uint64, command func(string) (string, []string), wanted func(*soak.Plan) bool, judge func(soak.Report)) {
+	t.Helper()
+	playWith(t, seeds, soak.Options{Command: command}, wanted, func(report soak.Report) (enough bool) {
+		judge(report)
+		return false
+	})
+}
+
+// playWith plays seeds whose plan is wanted and hands on their reports, until one is enough.
+func playWith(t *testing.T, seeds uint64, options soak.Options, wanted func(*soak.Plan) bool, judge func(soak.Report) (enough bool)) {
 	t.Helper()
 	reports := make(chan soak.Report)
 	var runs errgroup.Group
+	var over atomic.Bool
 	runs.SetLimit(workers)
 	go func() { // ends when all seeds are played
 		defer close(reports)
 		for seed := uint64(1); seed <= seeds; seed++ {
-			if !wanted(soak.Draw(seed)) {
+			plan, err := soak.DrawScenario(seed, options.Scenario)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if !wanted(plan) {
 				continue
 			}
 			runs.Go(func() error {
-				report, err := soak.Run(context.Background(), seed, soak.Options{Command: command})
+				if over.Load() {
+					return nil
+				}
+				report, err := soak.Run(context.Background(), seed, options)
 				if err != nil {
 					t.Error(err)
 					return nil
@@ -54,7 +73,9 @@
 		runs.Wait()
 	}()
 	for report := range reports {
-		judge(report)
+		if judge(report) {
+			over.Store(true)
+		}
 	}
 }
 
