The soak: a first list that comes late, and an older whole list; the former breaks drains

Change: scenario late-first-list: one or two backends have left before the start and count as told from the process's first moment, as STANDING.md says; changes while discovery is silent count when written or 6 s after the start. No check of other plans changes. isWithdrawn is false in them.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -62,6 +62,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := soak.DrawScenario(first, soak.Scenario(a.Scenario)); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	var totals soakTotals
@@ -86,7 +89,7 @@
 		return err
 	}
 	if !a.json() {
-		fmt.Fprintf(c.Out, "%d seeds played, %d broke a rule, %d could not be played or judged; %d of the played met the crossing of a departure and a later attempt in a shutdown\n",
+		fmt.Fprintf(c.Out, "%d seeds played, %d broke a rule, %d could not be played or judged; %d of the played met the crossing\n",
 			totals.played, totals.broken, totals.notPlayed, totals.metCrossing)
 	}
 	return totals.err()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -117,8 +117,8 @@
 	for _, notice := range r.record.notices {
 		for _, req := range r.record.order {
 			for _, attempt := range req.attempts {
-				late := attempt.firstByteAt - notice.notifiedAt - drainGrace - socketSlack
-				if attempt.backend == notice.Backend && late > 0 {
+				late := notice.lateness(attempt)
+				if late > 0 && !notice.isWithdrawn(attempt.firstByteAt) {
 					violations = append(violations, r.violation("drains kept", req, attempt.firstByteAt, late,
 						"an attempt at backend %d, which %s, began %v after the notice", notice.Backend, notice.Kind, attempt.firstByteAt-notice.notifiedAt))
 				}
@@ -128,6 +128,30 @@
 	return violations
 }
 
+// lateness is by how much an attempt at the notice's backend began later than its grace; 0 or less: it did not.
+func (n *notice) lateness(attempt receipt) time.Duration {
+	if attempt.backend != n.Backend {
+		return 0
+	}
+	return attempt.firstByteAt - n.notifiedAt - drainGrace - socketSlack
+}
+
+// isWithdrawn reports whether an older list had named the backend as active by a time.
+func (n *notice) isWithdrawn(at time.Duration) bool { return n.withdrawnAt > 0 && at >= n.withdrawnAt }
+
+// unsettledAttempts counts the attempts that break the rule of drains if a notice still counts that an older list withdrew.
+// The record's lock is held.
+func (r *run) unsettledAttempts() (count int) {
+	for _, req := range r.record.order {
+		for _, attempt := range req.attempts {
+			if slices.ContainsFunc(r.record.notices, func(n notice) bool { return n.lateness(attempt) > 0 && n.isWithdrawn(attempt.firstByteAt) }) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // checkProcess: the process is ready in time, does not crash, ends by itself, and gives back what it took.
 func (r *run) checkProcess() (violations []Violation) {
 	record, facts := r.record, &r.record.instance
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -34,6 +34,7 @@
 type discovery struct {
 	record    *record
 	framing   Framing
+	answersAt time.Duration // before which no watch is answered; set before the instance starts
 	listeners [2]net.Listener
 
 	mu       sync.Mutex
@@ -89,6 +90,7 @@
 	if err != nil {
 		return
 	}
+	d.waitForAnswers()
 	since, _ := strconv.Atoi(req.URL.Query().Get("since"))
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 	w := &watch{conn: conn, at: at, next: since + 1}
@@ -171,7 +173,7 @@
 	number := noNotice
 	d.record.update(func() {
 		number = len(d.record.notices)
-		d.record.notices = append(d.record.notices, notice{c, notifiedAtLatest})
+		d.record.notices = append(d.record.notices, notice{Change: c, notifiedAt: notifiedAtLatest})
 		if inPieces {
 			d.record.notices[number].notifiedAt = notNotified
 		}
--- a/internal/soak/events.go
+++ b/internal/soak/events.go
@@ -57,6 +57,10 @@
 			r.record.update(func() { r.silentSince = now })
 		})
 	}
+	if older := r.plan.OlderList; older.At > 0 {
+		add(older.At, r.discovery.fallBehind)
+		add(older.At+older.CatchUp, r.discovery.catchUpAll)
+	}
 	for _, at := range r.plan.Stalled {
 		add(at, r.startStalledClient)
 	}
@@ -77,6 +81,9 @@
 	if r.movedAt > 0 {
 		notified = max(notified, r.movedAt+moveCounts)
 	}
+	if notified < r.startedAt+r.plan.StaleStart.AnswersAfter {
+		notified = max(notified, r.startedAt+silenceCounts)
+	}
 	return notified
 }
 
--- a/internal/soak/exposure.go
+++ b/internal/soak/exposure.go
@@ -6,11 +6,11 @@
 )
 
 // Exposure tells how far a run met what "drains kept" is about in a shutdown. A departure is a notice that a backend drains,
-// is removed or is left out, and that counts as told since SIGTERM.
+// is removed or is left out, and that counts as told since SIGTERM, or from the first moment of the process.
 //
 // A run met the crossing if an attempt began, at any backend, more than the grace after a departure: only such an attempt can
 // tell an instance that goes by the departure from one that does not. A run that did not meet it shows nothing about drains
-// in a shutdown, whether or not a rule was broken.
+// there, whether or not a rule was broken.
 type Exposure struct {
 	Departures     int    `json:"departures"`
 	AfterDeparture int    `json:"attempts_after_departure"` // that began after the first departure
@@ -24,13 +24,13 @@
 func (r *run) exposure() Exposure {
 	var departures []notice
 	for _, notice := range r.record.notices {
-		if notice.notifiedAt >= r.record.termAt && notice.notifiedAt < r.record.endedAt {
+		if (notice.atStart || notice.notifiedAt >= r.record.termAt) && notice.notifiedAt < r.record.endedAt {
 			departures = append(departures, notice)
 		}
 	}
 	exposure := Exposure{Departures: len(departures)}
 	for _, departure := range departures {
-		if at, found := r.lastAttemptAt(departure.Backend); found {
+		if at, found := r.lastAttemptAt(departure.Backend); found && !departure.isWithdrawn(at) {
 			exposure.noteLastAttempt(at - departure.notifiedAt)
 		}
 	}
--- a/internal/soak/facts.go
+++ b/internal/soak/facts.go
@@ -35,7 +35,9 @@
 // notice is a change of the endpoint list, and when the instance counts as told.
 type notice struct {
 	Change
-	notifiedAt time.Duration
+	notifiedAt  time.Duration
+	atStart     bool          // it counts as told from the first moment of the process
+	withdrawnAt time.Duration // when an older list named the backend as active again; 0: none did
 }
 
 // record is what was seen of a run. All goroutines of the run add to it.
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -44,10 +44,12 @@
 	}
 	defer log.Close()
 	p.cmd.Stderr = log
+	r.beginStaleStart()
 	started := time.Now()
 	if err := p.spawn(); err != nil {
 		return nil, err
 	}
+	r.departBeforeStart()
 	if err := r.waitForReady(p, started); err != nil {
 		p.kill()
 		return nil, err
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -42,7 +42,9 @@
 	ChecksIdle      bool // before SIGTERM it is checked that an idle instance gives back what it took
 
 	// Of scenarios.
-	Framing Framing
+	Framing    Framing
+	StaleStart StaleStart
+	OlderList  OlderList
 }
 
 // Signal is sent to the instance at a time.
@@ -203,8 +205,10 @@
 	if p.Watch != NoWatchFault {
 		fmt.Fprintf(&b, "; the watch %s at %v", p.Watch, p.WatchFaultAt)
 	}
-	if !p.Framing.isPlain() {
-		fmt.Fprintf(&b, "; %v", p.Framing)
+	for _, part := range []fmt.Stringer{p.Framing, p.StaleStart, p.OlderList} {
+		if text := part.String(); text != "" {
+			b.WriteString("; " + text)
+		}
 	}
 	return b.String()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -45,7 +45,8 @@
 	OwnDelay   int64       `json:"own_delay_ms"`       // greatest of this process
 	Waited     int64       `json:"waited_ms"`          // of the instance's threads for a processor, all together
 	Violations []Violation `json:"violations"`
-	Unjudged   []Violation `json:"unjudged"` // no later than the machine ran at that moment
+	Unjudged   []Violation `json:"unjudged"`                     // no later than the machine ran at that moment
+	Unsettled  int         `json:"attempts_unsettled,omitempty"` // that OlderList speaks of
 	Plan       string      `json:"plan"`
 }
 
@@ -70,6 +71,7 @@
 	extraBytes  int           // idle connections that brought bytes
 	silentSince time.Duration // since when watches are silent; 0: they are not
 	movedAt     time.Duration // when discovery and counter moved; 0: they have not
+	startedAt   time.Duration // when a process with a stale list was started; 0: the list is not stale
 }
 
 // Run plays the plan of a seed. The error is one of the run itself: it could not be played.
@@ -201,6 +203,7 @@
 	report.Exposure = r.exposure()
 	report.Violations, report.Unjudged = r.split(r.judge())
 	report.Unread = r.record.unread
+	report.Unsettled = r.unsettledAttempts()
 	report.EndedAfter = (r.record.endedAt - r.record.termAt).Seconds()
 	report.OwnDelay = lateness.Worst(r.own.Delays, 0, r.record.endedAt).Milliseconds()
 	report.Waited = lateness.Sum(r.waits.Waits[0], 0, r.record.endedAt).Milliseconds()
@@ -225,6 +228,9 @@
 	for _, v := range report.Unjudged {
 		fmt.Fprintf(out, "  not judged, the machine was late: %s: %s %s, %.3f s after SIGTERM\n", v.Rule, v.Request, v.What, v.At.Seconds())
 	}
+	if report.Unsettled > 0 {
+		fmt.Fprintf(out, "  %d attempts at a backend that an older list named active after its notice\n", report.Unsettled)
+	}
 	if len(report.Violations) > 0 {
 		fmt.Fprintf(out, "  plan: %s\n", report.Plan)
 	}
