The soak: dials of discovery that hang after a move, and SIGTERM in a batch of requests

Change: scenario hanging-dial: SIGHUP moves discovery 3.7 to 4.1 s before SIGTERM to a port whose backlog is full for 0.3 to 2.4 s; the first backend leaves meanwhile, and what counts as told 4 s after SIGHUP falls into the shutdown. Scenario batch: 100 to 180 requests on connections of their own within 15 ms of SIGTERM, and the first backend leaves within 30 ms of them. Slow attempts (12 ms each) without the check before the first byte are not found by batch: the instance then admits so little that none is late by the grace.

--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -36,6 +36,8 @@
 	framing   Framing
 	answersAt time.Duration // before which no watch is answered; set before the instance starts
 	listeners [2]net.Listener
+	addresses [2]string
+	hanging   *hangingPort // in place of the second listener, until it is released; nil: there is none
 
 	mu       sync.Mutex
 	messages []published // by version, from 1
@@ -70,16 +72,27 @@
 		if d.listeners[i], err = listen(func(conn net.Conn) { d.serve(conn, i) }); err != nil {
 			return nil, err
 		}
+		d.addresses[i] = d.listeners[i].Addr().String()
+	}
+	if plan.HangingDial > 0 {
+		var err error
+		if d.hanging, err = newHangingPort(); err != nil {
+			return nil, err
+		}
+		d.addresses[1] = d.hanging.address
 	}
 	return d, nil
 }
 
-func (d *discovery) address(moved int) string { return d.listeners[moved].Addr().String() }
+func (d *discovery) address(moved int) string { return d.addresses[moved] }
 
 func (d *discovery) close() {
 	for _, listener := range d.listeners {
 		listener.Close()
 	}
+	if d.hanging != nil {
+		d.hanging.close()
+	}
 	d.breakWatches()
 }
 
--- a/internal/soak/events.go
+++ b/internal/soak/events.go
@@ -61,6 +61,13 @@
 		add(older.At, r.discovery.fallBehind)
 		add(older.At+older.CatchUp, r.discovery.catchUpAll)
 	}
+	if hang := time.Duration(r.plan.HangingDial); hang > 0 {
+		add(r.plan.Signals[0].At+hang, r.discovery.releaseDials)
+	}
+	if r.plan.Batch.Size > 0 {
+		add(r.plan.Batch.At-batchOpensAgo, r.openBatch)
+		add(r.plan.Batch.At, r.sendBatch)
+	}
 	for _, at := range r.plan.Stalled {
 		add(at, r.startStalledClient)
 	}
--- a/internal/soak/peers.go
+++ b/internal/soak/peers.go
@@ -19,6 +19,12 @@
 	if err != nil {
 		return nil, err
 	}
+	accept(listener, serve)
+	return listener, nil
+}
+
+// accept accepts connections and serves each until it returns, and then closes it.
+func accept(listener net.Listener, serve func(net.Conn)) {
 	go func() { // ends with the listener
 		for {
 			conn, err := listener.Accept()
@@ -31,7 +37,6 @@
 			}()
 		}
 	}()
-	return listener, nil
 }
 
 // How backends work.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -42,9 +42,11 @@
 	ChecksIdle      bool // before SIGTERM it is checked that an idle instance gives back what it took
 
 	// Of scenarios.
-	Framing    Framing
-	StaleStart StaleStart
-	OlderList  OlderList
+	Framing     Framing
+	StaleStart  StaleStart
+	OlderList   OlderList
+	HangingDial HangingDial
+	Batch       Batch
 }
 
 // Signal is sent to the instance at a time.
@@ -205,7 +207,7 @@
 	if p.Watch != NoWatchFault {
 		fmt.Fprintf(&b, "; the watch %s at %v", p.Watch, p.WatchFaultAt)
 	}
-	for _, part := range []fmt.Stringer{p.Framing, p.StaleStart, p.OlderList} {
+	for _, part := range []fmt.Stringer{p.Framing, p.StaleStart, p.OlderList, p.HangingDial, p.Batch} {
 		if text := part.String(); text != "" {
 			b.WriteString("; " + text)
 		}
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -19,6 +19,8 @@
 	FramedNotices Scenario = "framed-notices"
 	LateFirstList Scenario = "late-first-list"
 	OldFullList   Scenario = "older-list"
+	DialHangs     Scenario = "hanging-dial"
+	RequestBatch  Scenario = "batch"
 )
 
 // scenarioDraws add each scenario's trouble to a plan that exposeShutdown has changed.
@@ -26,6 +28,8 @@
 	FramedNotices: (*Plan).drawFraming,
 	LateFirstList: (*Plan).drawStaleStart,
 	OldFullList:   (*Plan).drawOlderList,
+	DialHangs:     (*Plan).drawHangingDial,
+	RequestBatch:  (*Plan).drawBatch,
 }
 
 // Scenarios are all scenarios, by name.
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -102,6 +102,16 @@
 		Old:  "\tw.version = update.Version\n",
 		New:  "\tw.version = max(w.version, update.Version)\n",
 	}}}},
+	{soak.DialHangs, anyPlan, mutation.Mutation{Name: "failed-dial-waits-seconds", Edits: []mutation.Edit{{
+		File: "internal/server/discovery.go",
+		Old:  "minWatchBackoff = 100 * time.Millisecond",
+		New:  "minWatchBackoff = 8 * time.Second",
+	}}}},
+	{soak.RequestBatch, anyPlan, mutation.Mutation{Name: "event-loop-stalls-with-a-batch", Edits: []mutation.Edit{{
+		File: "internal/server/eventloop.go",
+		Old:  "\t\tnow := s.now() // one time for the whole batch, and for the timers after it\n",
+		New:  "\t\tnow := s.now()\n\t\tif len(batch) > 8 {\n\t\t\ttime.Sleep(400 * time.Millisecond)\n\t\t}\n",
+	}}}},
 }
 
 // A scenario that finds nothing says nothing unless it finds what is broken.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,6 +66,8 @@
 	paused          atomic.Bool // clients send nothing for now
 	own             lateness.Monitor
 	waits           lateness.ProcessMonitor
+	clients         sync.WaitGroup
+	batch           []*client // that wait to send at once
 
 	// The record's lock guards these.
 	extraBytes  int           // idle connections that brought bytes
@@ -167,9 +169,8 @@
 	defer stopWaits()
 	crowd := r.startCrowd()
 	defer crowd()
-	var clients sync.WaitGroup
 	for number := range r.plan.Clients + r.plan.Resting {
-		clients.Go(newClient(r, number).play)
+		r.clients.Go(newClient(r, number).play)
 	}
 	if r.plan.ChecksIdle {
 		r.checkIdle(pid)
@@ -180,7 +181,7 @@
 	r.ended.Store(true)
 	stopOwn()
 	stopWaits()
-	clients.Wait()
+	r.clients.Wait()
 	return ctx.Err()
 }
 
