--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -19,20 +19,25 @@
 
 // soakArgs is "sandyard-drill soak".
 type soakArgs struct {
-	Seeds   string `default:"1-20" help:"Seeds, as FROM-TO."`
-	Workers int    `default:"1" help:"Runs side by side."`
-	Keep    string `type:"path" help:"Keep the instances' logs and files in this folder." placeholder:"DIR"`
+	Seeds    string `default:"1-20" help:"Seeds, as FROM-TO."`
+	Workers  int    `default:"1" help:"Runs side by side."`
+	Scenario string `help:"Scenario of the plans; an unknown one lists them all." placeholder:"NAME"`
+	Keep     string `type:"path" help:"Keep the instances' logs and files in this folder." placeholder:"DIR"`
 	output
 }
 
 // soakTotals are what came of the seeds so far.
 type soakTotals struct {
 	played, broken, notPlayed int
+	metCrossing               int
 }
 
 // add counts a run.
 func (t *soakTotals) add(report soak.Report) {
 	t.played++
+	if report.Exposure.MetCrossing {
+		t.metCrossing++
+	}
 	if len(report.Violations) > 0 {
 		t.broken++
 	} else if len(report.Unjudged) > 0 {
@@ -57,6 +62,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := soak.DrawScenario(first, soak.Scenario(a.Scenario)); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	var totals soakTotals
@@ -65,7 +73,7 @@
 	runs.SetLimit(max(1, a.Workers))
 	for seed := first; seed <= last && ctx.Err() == nil; seed++ {
 		runs.Go(func() error {
-			report, err := soak.Run(ctx, seed, soak.Options{Command: self, LogDir: a.Keep})
+			report, err := soak.Run(ctx, seed, soak.Options{Command: self, LogDir: a.Keep, Scenario: soak.Scenario(a.Scenario)})
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -81,7 +89,8 @@
 		return err
 	}
 	if !a.json() {
-		fmt.Fprintf(c.Out, "%d seeds played, %d broke a rule, %d could not be played or judged\n", totals.played, totals.broken, totals.notPlayed)
+		fmt.Fprintf(c.Out, "%d seeds played, %d broke a rule, %d could not be played or judged; %d of the played met the crossing\n",
+			totals.played, totals.broken, totals.notPlayed, totals.metCrossing)
 	}
 	return totals.err()
 }
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,7 +33,11 @@
 // discovery is a stand-in of discovery: it serves watches at two addresses, of which the second is in use after a move.
 type discovery struct {
 	record    *record
+	framing   Framing
+	answersAt time.Duration // before which no watch is answered; set before the instance starts
 	listeners [2]net.Listener
+	addresses [2]string
+	hanging   *hangingPort // in place of the second listener, until it is released; nil: there is none
 
 	mu       sync.Mutex
 	messages []published // by version, from 1
@@ -49,6 +54,9 @@
 
 const noNotice = -1
 
+// notNotified is the time of a notice that is being written: after any run's end.
+const notNotified = 24 * time.Hour
+
 // watch is one that stands.
 type watch struct {
 	conn   net.Conn
@@ -57,23 +65,34 @@
 	next   int  // version of the next message
 }
 
-func startDiscovery(record *record, hosts []endpointEntry) (*discovery, error) {
-	d := &discovery{record: record, current: hosts, watches: map[*watch]struct{}{}}
+func startDiscovery(plan *Plan, record *record, hosts []endpointEntry) (*discovery, error) {
+	d := &discovery{record: record, framing: plan.Framing, current: hosts, watches: map[*watch]struct{}{}}
 	for i := range d.listeners {
 		var err error
 		if d.listeners[i], err = listen(func(conn net.Conn) { d.serve(conn, i) }); err != nil {
 			return nil, err
 		}
+		d.addresses[i] = d.listeners[i].Addr().String()
+	}
+	if plan.HangingDial > 0 {
+		var err error
+		if d.hanging, err = newHangingPort(); err != nil {
+			return nil, err
+		}
+		d.addresses[1] = d.hanging.address
 	}
 	return d, nil
 }
 
-func (d *discovery) address(moved int) string { return d.listeners[moved].Addr().String() }
+func (d *discovery) address(moved int) string { return d.addresses[moved] }
 
 func (d *discovery) close() {
 	for _, listener := range d.listeners {
 		listener.Close()
 	}
+	if d.hanging != nil {
+		d.hanging.close()
+	}
 	d.breakWatches()
 }
 
@@ -84,6 +103,7 @@
 	if err != nil {
 		return
 	}
+	d.waitForAnswers()
 	since, _ := strconv.Atoi(req.URL.Query().Get("since"))
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 	w := &watch{conn: conn, at: at, next: since + 1}
@@ -123,6 +143,10 @@
 	if w.silent || w.at != d.movedTo {
 		return
 	}
+	if !d.framing.isPlain() {
+		d.catchUpFramed(w)
+		return
+	}
 	for ; w.next <= len(d.messages); w.next++ {
 		message := d.messages[w.next-1]
 		text, _ := json.Marshal(message.endpointMessage)
@@ -134,11 +158,15 @@
 // writeTo writes a chunk on a watch that is not silent; mu is held.
 func (d *discovery) writeTo(w *watch, text string) {
 	if !w.silent {
-		w.conn.SetWriteDeadline(time.Now().Add(time.Second))
-		fmt.Fprintf(w.conn, "%x\r\n%s\r\n", len(text), text)
+		w.write(chunk(text))
 	}
 }
 
+func (w *watch) write(text string) {
+	w.conn.SetWriteDeadline(time.Now().Add(time.Second))
+	io.WriteString(w.conn, text)
+}
+
 // noteNotified notes that the instance was written a notice: it counts as told from now at the latest.
 func (d *discovery) noteNotified(number int) {
 	if number == noNotice {
@@ -151,15 +179,32 @@
 	})
 }
 
-// change takes a backend off the list. One that drains first and is then left out is left out by leaveOut.
+// change takes a backend off the list. One that drains first and is then left out is left out by leaveOut. The change counts
+// as told at the latest at a given time, or with its last piece where a message is written in pieces.
 func (d *discovery) change(c Change, notifiedAtLatest time.Duration) {
+	inPieces := d.framing.Pieces > 1
 	number := noNotice
 	d.record.update(func() {
 		number = len(d.record.notices)
-		d.record.notices = append(d.record.notices, notice{c, notifiedAtLatest})
+		d.record.notices = append(d.record.notices, notice{Change: c, notifiedAt: notifiedAtLatest})
+		if inPieces {
+			d.record.notices[number].notifiedAt = notNotified
+		}
 	})
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.publishChange(c, number)
+	if inPieces {
+		latest := max(notifiedAtLatest, d.record.now())
+		d.record.update(func() {
+			notified := &d.record.notices[number].notifiedAt
+			*notified = min(*notified, latest)
+		})
+	}
+}
+
+// publishChange publishes a change; mu is held.
+func (d *discovery) publishChange(c Change, number int) {
 	entry := &d.current[c.Backend]
 	switch c.Kind {
 	case Drains, DrainOut:
@@ -195,13 +240,21 @@
 
 // publish gives a message the next version and writes it on all watches; mu is held.
 func (d *discovery) publish(message endpointMessage, notice int) {
-	message.Version = len(d.messages) + 1
-	d.messages = append(d.messages, published{message, notice})
+	if d.framing.Filler > 0 {
+		d.append(d.framing.fillerMessage(), noNotice)
+	}
+	d.append(message, notice)
 	for w := range d.watches {
 		d.catchUp(w)
 	}
 }
 
+// append gives a message the next version; mu is held.
+func (d *discovery) append(message endpointMessage, notice int) {
+	message.Version = len(d.messages) + 1
+	d.messages = append(d.messages, published{message, notice})
+}
+
 // breakWatches closes the watches that stand.
 func (d *discovery) breakWatches() {
 	d.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -40,6 +40,13 @@
 	MovesAtReload   bool // SIGHUP moves discovery and counter
 	CounterSilentAt time.Duration
 	ChecksIdle      bool // before SIGTERM it is checked that an idle instance gives back what it took
+
+	// Of scenarios.
+	Framing     Framing
+	StaleStart  StaleStart
+	OlderList   OlderList
+	HangingDial HangingDial
+	Batch       Batch
 }
 
 // Signal is sent to the instance at a time.
@@ -200,5 +207,10 @@
 	if p.Watch != NoWatchFault {
 		fmt.Fprintf(&b, "; the watch %s at %v", p.Watch, p.WatchFaultAt)
 	}
+	for _, part := range []fmt.Stringer{p.Framing, p.StaleStart, p.OlderList, p.HangingDial, p.Batch} {
+		if text := part.String(); text != "" {
+			b.WriteString("; " + text)
+		}
+	}
 	return b.String()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,22 +26,27 @@
 	Command func(program string) (exe string, args []string)
 	// LogDir keeps the logs and configurations; empty: a temporary folder that is removed.
 	LogDir string
+	// Scenario changes the plans.
+	Scenario Scenario
 }
 
 // Report is what a run has shown.
 type Report struct {
 	Seed       uint64      `json:"seed"`
+	Scenario   Scenario    `json:"scenario,omitempty"`
 	Requests   int         `json:"requests"`
 	Served     int         `json:"served"`
 	Attempts   int         `json:"attempts"`
 	Late       int         `json:"attempts_after_sigterm"`
+	Exposure   Exposure    `json:"exposure"`
 	Refused    int         `json:"connections_refused"`
 	Unread     int         `json:"connections_unread"` // new ones that ended without an answer, with a crowd
 	EndedAfter float64     `json:"ended_after_s"`      // SIGTERM
 	OwnDelay   int64       `json:"own_delay_ms"`       // greatest of this process
 	Waited     int64       `json:"waited_ms"`          // of the instance's threads for a processor, all together
 	Violations []Violation `json:"violations"`
-	Unjudged   []Violation `json:"unjudged"` // no later than the machine ran at that moment
+	Unjudged   []Violation `json:"unjudged"`                     // no later than the machine ran at that moment
+	Unsettled  int         `json:"attempts_unsettled,omitempty"` // that OlderList speaks of
 	Plan       string      `json:"plan"`
 }
 
@@ -61,16 +66,23 @@
 	paused          atomic.Bool // clients send nothing for now
 	own             lateness.Monitor
 	waits           lateness.ProcessMonitor
+	clients         sync.WaitGroup
+	batch           []*client // that wait to send at once
 
 	// The record's lock guards these.
 	extraBytes  int           // idle connections that brought bytes
 	silentSince time.Duration // since when watches are silent; 0: they are not
 	movedAt     time.Duration // when discovery and counter moved; 0: they have not
+	startedAt   time.Duration // when a process with a stale list was started; 0: the list is not stale
 }
 
 // Run plays the plan of a seed. The error is one of the run itself: it could not be played.
 func Run(ctx context.Context, seed uint64, options Options) (Report, error) {
-	r := &run{plan: Draw(seed), record: newRecord(), options: options, dir: options.LogDir, backendsEnded: make(chan struct{})}
+	plan, err := DrawScenario(seed, options.Scenario)
+	if err != nil {
+		return Report{}, err
+	}
+	r := &run{plan: plan, record: newRecord(), options: options, dir: options.LogDir, backendsEnded: make(chan struct{})}
 	if r.dir == "" {
 		dir, err := os.MkdirTemp("", "sandyard-soak-")
 		if err != nil {
@@ -105,7 +117,7 @@
 		hosts = append(hosts, endpointEntry{Host: fmt.Sprintf("backend-%d", i), Dial: backend.listener.Addr().String(), Health: "active", Share: 1})
 	}
 	var err error
-	if r.discovery, err = startDiscovery(r.record, hosts); err != nil {
+	if r.discovery, err = startDiscovery(r.plan, r.record, hosts); err != nil {
 		return err
 	}
 	if r.counter, err = startCounter(); err != nil {
@@ -157,9 +169,8 @@
 	defer stopWaits()
 	crowd := r.startCrowd()
 	defer crowd()
-	var clients sync.WaitGroup
 	for number := range r.plan.Clients + r.plan.Resting {
-		clients.Go(newClient(r, number).play)
+		r.clients.Go(newClient(r, number).play)
 	}
 	if r.plan.ChecksIdle {
 		r.checkIdle(pid)
@@ -170,7 +181,7 @@
 	r.ended.Store(true)
 	stopOwn()
 	stopWaits()
-	clients.Wait()
+	r.clients.Wait()
 	return ctx.Err()
 }
 
@@ -178,7 +189,7 @@
 func (r *run) report() Report {
 	r.record.mu.Lock()
 	defer r.record.mu.Unlock()
-	report := Report{Seed: r.plan.Seed, Requests: len(r.record.order), Refused: r.record.refused, Plan: r.plan.String()}
+	report := Report{Seed: r.plan.Seed, Scenario: r.options.Scenario, Requests: len(r.record.order), Refused: r.record.refused, Plan: r.plan.String()}
 	for _, req := range r.record.order {
 		if req.status == 200 {
 			report.Served++
@@ -190,24 +201,37 @@
 			}
 		}
 	}
+	report.Exposure = r.exposure()
 	report.Violations, report.Unjudged = r.split(r.judge())
 	report.Unread = r.record.unread
+	report.Unsettled = r.unsettledAttempts()
 	report.EndedAfter = (r.record.endedAt - r.record.termAt).Seconds()
 	report.OwnDelay = lateness.Worst(r.own.Delays, 0, r.record.endedAt).Milliseconds()
 	report.Waited = lateness.Sum(r.waits.Waits[0], 0, r.record.endedAt).Milliseconds()
 	return report
 }
 
+// name is the seed, with the scenario if there is one.
+func (report Report) name() string {
+	if report.Scenario == NoScenario {
+		return fmt.Sprintf("seed %d", report.Seed)
+	}
+	return fmt.Sprintf("seed %d of %s", report.Seed, report.Scenario)
+}
+
 // Print writes a line for the run, and one for each violation.
 func (report Report) Print(out io.Writer) {
-	fmt.Fprintf(out, "seed %d: %d requests, %d served, %d attempts, %d of them after SIGTERM; ended after %.2f s; soak %d ms late, instance waited %d ms for a processor; %d broken, %d not judged\n",
-		report.Seed, report.Requests, report.Served, report.Attempts, report.Late, report.EndedAfter, report.OwnDelay, report.Waited, len(report.Violations), len(report.Unjudged))
+	fmt.Fprintf(out, "%v: %d requests, %d served, %d attempts, %d of them after SIGTERM; %v; ended after %.2f s; soak %d ms late, instance waited %d ms for a processor; %d broken, %d not judged\n",
+		report.name(), report.Requests, report.Served, report.Attempts, report.Late, report.Exposure, report.EndedAfter, report.OwnDelay, report.Waited, len(report.Violations), len(report.Unjudged))
 	for _, v := range report.Violations {
 		fmt.Fprintf(out, "  BROKEN %s: %s %s, %.3f s after SIGTERM\n", v.Rule, v.Request, v.What, v.At.Seconds())
 	}
 	for _, v := range report.Unjudged {
 		fmt.Fprintf(out, "  not judged, the machine was late: %s: %s %s, %.3f s after SIGTERM\n", v.Rule, v.Request, v.What, v.At.Seconds())
 	}
+	if report.Unsettled > 0 {
+		fmt.Fprintf(out, "  %d attempts at a backend that an older list named active after its notice\n", report.Unsettled)
+	}
 	if len(report.Violations) > 0 {
 		fmt.Fprintf(out, "  plan: %s\n", report.Plan)
 	}
