No attempt begins at a backend that drains, also within its grace

Callers saw: a request whose connection came up after its backend had begun to drain was still written within half of the grace, counted from when the notice arrived. Where that time was lost, it was written after the grace: a heartbeat that arrives behind an unread notice makes TCP_INFO tell the heartbeat's time. Change: isObsolete drops each attempt at a backend that is not up, as the platform asks of one that leaves (it finishes what it holds and wants nothing new); no clock is involved any more, and notUpSince, NotifiedAt and the half of the grace go. TestAttemptIsCheckedBeforeFirstByte is stricter in its case of a backend that has just begun to drain: nothing is written, where half a grace was allowed.

--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -276,7 +276,7 @@
 	w.version = update.Version
 	w.readVersion.Store(update.Version)
 	confirmed := w.confirmation(socket, departed)
-	change := proxy.EndpointsUpdate{Endpoints: endpoints, NotifiedAt: confirmed.arrivedAt, Origin: w.server.clockOrigin()}
+	change := proxy.EndpointsUpdate{Endpoints: endpoints, Origin: w.server.clockOrigin()}
 	if update.Full {
 		w.server.postEndpoints(endpointsReplaced{change}, confirmed)
 	} else {
--- a/internal/server/filewatch.go
+++ b/internal/server/filewatch.go
@@ -93,9 +93,9 @@
 	})
 }
 
-// endpointsUpdate is an update of which the instance is notified now.
+// endpointsUpdate is an update that names endpoints.
 func (s *Server) endpointsUpdate(endpoints []config.Endpoint) proxy.EndpointsUpdate {
-	return proxy.EndpointsUpdate{Endpoints: endpoints, NotifiedAt: s.now(), Origin: s.clockOrigin()}
+	return proxy.EndpointsUpdate{Endpoints: endpoints, Origin: s.clockOrigin()}
 }
 
 func loadEndpoints(path string) ([]config.Endpoint, error) {
--- a/internal/simulation/instance.go
+++ b/internal/simulation/instance.go
@@ -182,9 +182,8 @@
 		}
 		inst.sim.recordEndpointView(inst, endpoints)
 		inst.core.ReplaceEndpoints(inst.now(), proxy.EndpointsUpdate{
-			Endpoints:  endpoints,
-			NotifiedAt: inst.now(),
-			Origin:     epoch.Add(inst.sim.now - inst.now()),
+			Endpoints: endpoints,
+			Origin:    epoch.Add(inst.sim.now - inst.now()),
 		})
 	})
 }
--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -12,9 +12,9 @@
 // was forgotten would have its effect twice.
 const usableKeyLife = 0.95
 
-// drainGraceDivisor sets the part of a drain grace, from when the instance was notified that a backend is not up, within which a
-// decided attempt may still begin there: the first half. The other half is for the request to reach the backend.
-const drainGraceDivisor = 2
+// unreadGraceDivisor sets the part of a drain grace for which a message of the endpoint list may lie unread while attempts
+// begin: the first half. The other half is for the request to reach the backend.
+const unreadGraceDivisor = 2
 
 // attempt is one sending of an exchange to a backend. It is decided on by the decision gateway, begins with its first
 // byte, and ends exactly once, with endAttempt.
@@ -97,10 +97,8 @@
 	switch {
 	case !backend.isSameProcess(conn): // another process has the address, and what was decided for the first does not hold for it
 		return true
-	case backend.endpoint.State == decision.Removed: // the endpoint list left it out, also where the backend still answers
+	case backend.endpoint.State != decision.Up: // it drains and wants nothing new, or is gone, also where it still answers
 		return true
-	case backend.endpoint.State != decision.Up && inst.now >= backend.notUpSince+inst.shared.Config.Settings.DrainGrace/drainGraceDivisor:
-		return true // its drain grace may end before the request is there
 	case inst.endpointsOutdated(): // what waits to be read may be that the backend drains
 		return true
 	case ex.isProbe:
@@ -120,7 +118,7 @@
 		return false
 	}
 	unreadFor := inst.EndpointsUnreadFor()
-	return unreadFor > 0 && unreadFor >= inst.shared.Config.Settings.DrainGrace/drainGraceDivisor
+	return unreadFor > 0 && unreadFor >= inst.shared.Config.Settings.DrainGrace/unreadGraceDivisor
 }
 
 // keyMayHaveExpired reports whether an attempt would repeat what an earlier one may have run, so late that backends may
--- a/proxy/attempts_test.go
+++ b/proxy/attempts_test.go
@@ -28,18 +28,18 @@
 		{"the client left, and the instance does not know yet", func(r *harness, client *ClientConn, ex *Exchange) { client.Disconnected() }, false},
 		{"its time is up", func(r *harness, client *ClientConn, ex *Exchange) { r.now = r.instance.answerDeadline(ex) }, false},
 		{"a whole endpoint list leaves its backend out", func(r *harness, client *ClientConn, ex *Exchange) {
-			r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: nil, NotifiedAt: r.now})
+			r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: nil})
 		}, false},
 		{"its backend is removed", func(r *harness, client *ClientConn, ex *Exchange) {
-			r.instance.UpdateEndpoints(r.now, EndpointsUpdate{Endpoints: removed, NotifiedAt: r.now})
+			r.instance.UpdateEndpoints(r.now, EndpointsUpdate{Endpoints: removed})
 		}, false},
 		{"its backend began to drain, and a whole endpoint list leaves it out", func(r *harness, client *ClientConn, ex *Exchange) {
-			r.instance.UpdateEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 1), NotifiedAt: r.now})
-			r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: nil, NotifiedAt: r.now})
+			r.instance.UpdateEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 1)})
+			r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: nil})
+		}, false},
+		{"its backend has just begun to drain", func(r *harness, client *ClientConn, ex *Exchange) {
+			r.instance.UpdateEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 1)})
 		}, false},
-		{"its backend began to drain a moment ago", func(r *harness, client *ClientConn, ex *Exchange) {
-			r.instance.UpdateEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 1), NotifiedAt: r.now})
-		}, true},
 	}
 }
 
@@ -67,8 +67,8 @@
 	r := newHarness(t, 1, 1, "")
 	r.request("GET", "/look", "ka", "")
 	dial := r.want(DialBackend)
-	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: nil, NotifiedAt: r.now})
-	r.instance.UpdateEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 0), NotifiedAt: r.now})
+	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: nil})
+	r.instance.UpdateEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 0)})
 	r.collect()
 	r.instance.BackendConnected(r.now, dial.Conn)
 	r.want(WriteAttempt)
@@ -102,7 +102,7 @@
 	r := newHarness(t, 1, 1, "")
 	r.request("POST", "/pay", "ka", "Content-Length: 0\r\n")
 	dial := r.want(DialBackend)
-	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 1), NotifiedAt: r.now})
+	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 1)})
 	r.advance(200 * time.Millisecond)
 	r.instance.BackendConnected(r.now, dial.Conn)
 	r.wantNone(WriteAttempt)
@@ -112,7 +112,7 @@
 	r = newHarness(t, 1, 1, "")
 	_, ex := r.request("POST", "/pay", "ka", "Content-Length: 0\r\n")
 	conn, _ := r.connect()
-	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 1), NotifiedAt: r.now})
+	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 1)})
 	r.wantNone(CloseBackend)
 	r.reply(conn, ex, ok200)
 	r.wantResponse("200")
@@ -129,7 +129,7 @@
 	r := newHarness(t, 1, 1, "")
 	r.request("POST", "/pay", "ka", "Content-Length: 0\r\n")
 	dial := r.want(DialBackend)
-	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: restarted, NotifiedAt: r.now})
+	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: restarted})
 	r.instance.BackendConnected(r.now, dial.Conn)
 	if effect := r.want(CloseBackend); effect.Conn != dial.Conn {
 		t.Error("another connection was closed")
@@ -145,7 +145,7 @@
 	r = newHarness(t, 1, 1, "")
 	_, ex = r.request("POST", "/pay", "ka", "Content-Length: 0\r\n")
 	conn, _ = r.connect()
-	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: restarted, NotifiedAt: r.now})
+	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: restarted})
 	r.reply(conn, ex, ok200)
 	r.wantResponse("200")
 	r.want(CloseBackend)
--- a/proxy/backendconn_test.go
+++ b/proxy/backendconn_test.go
@@ -46,8 +46,8 @@
 		r.advance(5 * time.Second)
 		a := b.Feed([]byte(strings.Repeat("x", 1000)))
 		r.instance.ResponseReceived(r.now, conn, &a)
-		r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: nil, NotifiedAt: r.now}) // so that each has a connection of its own
-		r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 0), NotifiedAt: r.now})
+		r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: nil}) // so that each has a connection of its own
+		r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(1, 0)})
 		r.effects = nil
 	}
 	_, ex := r.request("GET", "/look", "ka", "")
--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: cfg.Endpoints, NotifiedAt: r.now})
+	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: cfg.Endpoints})
 	r.client = NewClientConn(r.shared, nil, "192.0.2.1", r.now)
 	return r
 }
--- a/proxy/endpoints.go
+++ b/proxy/endpoints.go
@@ -18,7 +18,6 @@
 	idleConns      []*BackendConn   // the last used is the last
 	connCount      int              // connections to it, idle, busy and being made
 	listed         bool             // the endpoint list has it
-	notUpSince     time.Duration    // when the instance was notified that it is not up any more
 	roundTrip      roundTripEstimate
 }
 
@@ -30,9 +29,6 @@
 // EndpointsUpdate is a message from the source of the endpoint list.
 type EndpointsUpdate struct {
 	Endpoints []config.Endpoint
-	// NotifiedAt is when the message reached the instance's machine. It may have waited since then, to be read and to be
-	// handled: the grace of what it takes out of use counts from here.
-	NotifiedAt time.Duration
 	// Origin is the calendar time at which the instance's clock stood at zero; the starts of processes are calendar times.
 	Origin time.Time
 }
@@ -59,14 +55,13 @@
 // applyEndpoints takes an update in and hands it to the decision gateway as one event, change.
 func (inst *Instance) applyEndpoints(now time.Duration, update EndpointsUpdate, change decision.EndpointsChanged) {
 	inst.advanceTo(now)
-	notifiedAt := min(update.NotifiedAt, inst.now)
 	for i := range update.Endpoints {
 		entry := &update.Endpoints[i]
 		backend := inst.findOrAddBackend(entry)
 		if backend == nil {
 			continue
 		}
-		inst.applyEndpoint(backend, entry, update.Origin, notifiedAt)
+		inst.applyEndpoint(backend, entry, update.Origin)
 		removed := backend.endpoint.State == decision.Removed
 		// A change that removes a backend has it forgotten with its last connection. One that a whole list names as removed
 		// is kept until a list leaves it out.
@@ -76,7 +71,7 @@
 			inst.endpointNames = append(inst.endpointNames, entry.Name)
 		}
 	}
-	inst.retireBackends(notifiedAt)
+	inst.retireBackends()
 	inst.handle(change, 0)
 	inst.endpointNames = nil
 	inst.drainEvents()
@@ -100,7 +95,7 @@
 
 // applyEndpoint takes an update of one backend in. Connections to a process that is no longer at the backend's address are
 // closed where they are idle; on the others no further attempt begins.
-func (inst *Instance) applyEndpoint(backend *backendEntry, update *config.Endpoint, origin time.Time, notifiedAt time.Duration) {
+func (inst *Instance) applyEndpoint(backend *backendEntry, update *config.Endpoint, origin time.Time) {
 	addressChanged := backend.addr != update.Address
 	processChanged := addressChanged || !time.Time(backend.processStarted).Equal(time.Time(update.Started))
 	backend.addr, backend.processStarted = update.Address, update.Started
@@ -121,19 +116,13 @@
 	if startedAt := time.Time(update.Started); !startedAt.IsZero() {
 		endpoint.Started = max(0, startedAt.Sub(origin))
 	}
-	if endpoint.State != decision.Up && backend.endpoint.State == decision.Up {
-		backend.notUpSince = notifiedAt
-	}
 	backend.endpoint = endpoint
 }
 
 // retireBackends marks backends that the list has left out as removed, those that were draining as well, and closes the idle
 // connections of all that are not up. Attempts that were written are let finish; isObsolete drops those that were not.
-func (inst *Instance) retireBackends(notifiedAt time.Duration) {
+func (inst *Instance) retireBackends() {
 	for _, backend := range slices.Clone(inst.backendsInOrder) { // closing may remove a backend
-		if !backend.listed && backend.endpoint.State == decision.Up {
-			backend.notUpSince = notifiedAt
-		}
 		if !backend.listed {
 			backend.endpoint.State = decision.Removed
 		}
--- a/proxy/endpoints_test.go
+++ b/proxy/endpoints_test.go
@@ -17,7 +17,7 @@
 	conn, _ := r.connect()
 	r.reply(conn, ex, ok200)
 	r.wantResponse("200")
-	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: nil, NotifiedAt: r.now})
+	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: nil})
 	if r.want(CloseBackend).Conn != conn {
 		t.Error("the idle connection stays")
 	}
@@ -27,7 +27,7 @@
 	if len(r.instance.backendsInOrder) != 0 || len(r.instance.backendsByName) != 0 {
 		t.Error("removed backends are kept")
 	}
-	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(2, 0), NotifiedAt: r.now})
+	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: endpointList(2, 0)})
 	_, ex = r.request("GET", "/look", "ka", "")
 	conn, _ = r.connect()
 	r.reply(conn, ex, ok200)
@@ -40,7 +40,7 @@
 func TestEndpointUpdates(t *testing.T) {
 	r := newHarness(t, 2, 1, "")
 	gone := config.EndpointState(decision.Removed)
-	r.instance.UpdateEndpoints(r.now, EndpointsUpdate{Endpoints: []config.Endpoint{{Name: "box-0", State: gone}, {Name: "never", State: gone}, {Name: "box-2", Address: "10.0.0.9:80"}}, NotifiedAt: r.now})
+	r.instance.UpdateEndpoints(r.now, EndpointsUpdate{Endpoints: []config.Endpoint{{Name: "box-0", State: gone}, {Name: "never", State: gone}, {Name: "box-2", Address: "10.0.0.9:80"}}})
 	r.collect()
 	seen := map[string]bool{}
 	for range 60 {
@@ -66,7 +66,7 @@
 	r.wantResponse("200")
 	restarted := endpointList(1, 0)
 	restarted[0].Started = config.Timestamp(time.Unix(100, 0))
-	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: restarted, NotifiedAt: r.now})
+	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: restarted})
 	if effect := r.want(CloseBackend); effect.Conn != idle {
 		t.Error("another connection was closed")
 	}
--- a/proxy/exchange_test.go
+++ b/proxy/exchange_test.go
@@ -192,7 +192,7 @@
 	case 4:
 		d.advance(time.Duration(d.next(400)) * time.Millisecond)
 	case 5:
-		d.instance.ReplaceEndpoints(d.now, EndpointsUpdate{Endpoints: endpointList(d.next(4), config.EndpointState(d.next(2))), NotifiedAt: d.now})
+		d.instance.ReplaceEndpoints(d.now, EndpointsUpdate{Endpoints: endpointList(d.next(4), config.EndpointState(d.next(2)))})
 		d.instance.CounterConnected(d.now)
 		d.instance.CounterDisconnected(d.now)
 	}
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -90,7 +90,7 @@
 	if r.instance, err = NewInstance(r.shared, 1, r.now); err != nil {
 		t.Fatal(err)
 	}
-	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: cfg.Endpoints, NotifiedAt: r.now})
+	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: cfg.Endpoints})
 	r.collect()
 	return r
 }
--- a/proxy/roundtrip_test.go
+++ b/proxy/roundtrip_test.go
@@ -48,7 +48,7 @@
 	}
 	moved := endpointList(1, 0)
 	moved[0].Address = "10.0.9.9:80"
-	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: moved, NotifiedAt: r.now})
+	r.instance.ReplaceEndpoints(r.now, EndpointsUpdate{Endpoints: moved})
 	_, ex := r.request("GET", "/look", "ka", "")
 	conn, _ := r.connect()
 	r.reply(conn, ex, ok200)
--- a/proxy/unread_test.go
+++ b/proxy/unread_test.go
@@ -13,8 +13,8 @@
 		writes    bool
 	}{
 		{func(time.Duration) time.Duration { return 0 }, true},
-		{func(grace time.Duration) time.Duration { return grace/drainGraceDivisor - 1 }, true},
-		{func(grace time.Duration) time.Duration { return grace / drainGraceDivisor }, false},
+		{func(grace time.Duration) time.Duration { return grace/unreadGraceDivisor - 1 }, true},
+		{func(grace time.Duration) time.Duration { return grace / unreadGraceDivisor }, false},
 	} {
 		r := newHarness(t, 1, 1, "")
 		unreadFor := c.unreadFor(r.shared.Config.Settings.DrainGrace)
