The record of an attempt is written after its first byte, which a log must not hold up

Callers saw: nothing yet; a log that is not taken holds the event loop up in a shutdown between the check of an attempt and its first byte, and a notice that comes meanwhile is passed over. Cause: recordAttempt logged before backendConn.write. Change: write first, then the record, with the time at which the write began.

--- a/internal/server/endpointrecord.go
+++ b/internal/server/endpointrecord.go
@@ -42,11 +42,10 @@
 
 // recordAttempt logs by which endpoint list an attempt begins, where that list could be out of date: during a shutdown, and
 // where it is notably old. decidedAt is the time by which the instance decided.
-func (s *Server) recordAttempt(effect proxy.Effect, decidedAt time.Duration) {
+func (s *Server) recordAttempt(effect proxy.Effect, decidedAt, now time.Duration) {
 	if s.discovery == nil {
 		return
 	}
-	now := s.now()
 	old := s.endpoints.noteAttempt(now)
 	message := "attempt during shutdown"
 	if !s.shuttingDown.Load() {
--- a/internal/server/endpointrecord_test.go
+++ b/internal/server/endpointrecord_test.go
@@ -94,12 +94,13 @@
 	}
 }
 
-// waitForLoop waits until the event loop has handled what is queued.
+// waitForLoop waits until the event loop has handled what is queued, unless it has ended.
 func (r *gateway) waitForLoop() {
 	r.Helper()
 	handled := make(chan struct{})
-	r.server.post(inspection(func(*proxy.Instance, time.Duration) { close(handled) }))
-	<-handled
+	if r.server.post(inspection(func(*proxy.Instance, time.Duration) { close(handled) })) {
+		<-handled
+	}
 }
 
 // A list holds what is up; what departs is each endpoint that was up and is not any more.
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -156,8 +156,9 @@
 		case proxy.DialBackend:
 			s.dialBackend(effect.Conn)
 		case proxy.WriteAttempt:
-			s.recordAttempt(effect, decidedAt)
+			begunAt := s.now()
 			effect.Conn.Owner.(*backendConn).write(effect.Exchange, effect.Bytes)
+			s.recordAttempt(effect, decidedAt, begunAt) // after its first byte, which a log must not hold up
 		case proxy.CloseBackend:
 			effect.Conn.Owner.(*backendConn).close()
 		case proxy.Respond:
--- a/internal/server/rig_test.go
+++ b/internal/server/rig_test.go
@@ -163,9 +163,11 @@
 	})
 }
 
-// requireServedBy fails unless a request is served by the backend of that name.
+// requireServedBy fails unless a request is served by the backend of that name, by what the event loop has been handed so far:
+// a log record of the watch tells only that a list was handed over.
 func (r *gateway) requireServedBy(id int, by string) {
 	r.Helper()
+	r.waitForLoop()
 	resp := r.exchange(nodeRequest(id), 1)[0]
 	body, _ := io.ReadAll(resp.Body)
 	if want := fmt.Sprintf("%s %016x", by, id); resp.StatusCode != 200 || string(body) != want {
