Readings of the endpoint file log after they let the next one go

Callers of sandyard serve saw: with a log that is not taken, a file that leaves a backend out is not read, and requests go to that backend as long as the log is held up. Cause: readEndpointsFile logged while it held the mutex that keeps readings in order. Change: a reading hands the list over under the mutex and logs after it.

--- a/internal/server/filewatch.go
+++ b/internal/server/filewatch.go
@@ -79,20 +79,30 @@
 // leaves the list as it was.
 func (s *Server) readEndpointsFile() {
 	s.goroutines.Go(func() {
-		s.endpointsFileMu.Lock()
-		defer s.endpointsFileMu.Unlock()
 		path := s.cfg.EndpointsPath()
-		endpoints, err := loadEndpoints(path)
-		if err != nil {
+		count, err := s.takeEndpointsFile(path)
+		if err != nil { // logged after the handing over: a log that is held up must not hold up the next reading
 			s.log.Error("list of boxes: the last one stays in force", "error", err)
-			s.postEndpoints(endpointPollFailed{})
 			return
 		}
-		s.postEndpoints(endpointsReplaced{s.endpointsUpdate(s.withBackendAddresses(endpoints))})
-		s.log.Info("list of boxes", "file", path, "boxes", len(endpoints))
+		s.log.Info("list of boxes", "file", path, "boxes", count)
 	})
 }
 
+// takeEndpointsFile reads the endpoint file and hands the list over, in the order of the readings, and returns the number of
+// endpoints.
+func (s *Server) takeEndpointsFile(path string) (count int, err error) {
+	s.endpointsFileMu.Lock()
+	defer s.endpointsFileMu.Unlock()
+	endpoints, err := loadEndpoints(path)
+	if err != nil {
+		s.postEndpoints(endpointPollFailed{})
+		return 0, err
+	}
+	s.postEndpoints(endpointsReplaced{s.endpointsUpdate(s.withBackendAddresses(endpoints))})
+	return len(endpoints), nil
+}
+
 // endpointsUpdate is an update that names endpoints.
 func (s *Server) endpointsUpdate(endpoints []config.Endpoint) proxy.EndpointsUpdate {
 	return proxy.EndpointsUpdate{Endpoints: endpoints, Origin: s.clockOrigin()}
