What has reached the machine from discovery counts until the event loop has taken it

Callers saw: an instance that was held up for longer than a drain grace sends requests to backends that drained meanwhile. Cause: the look at unread bytes missed what is read and not handed over (the rest of a packet, a message under way), what is queued, a watch that a move ends, and a watch whose read deadline has passed: Go's poller returns the timeout though the notice lies there, the watch was closed with it, and until the next one nothing told of it. Bytes behind the notice made it look new. Change: a watch is read to its last byte before it ends; the time since which it has been behind counts until it waits again with nothing unread; the queue's age counts; the event loop looks before each message, at most once a millisecond, and lets a watch that is behind catch up for 5 ms; no connection is dialled for an attempt that could not begin. Without a drain grace 20 ms are allowed: TestEndpointListVersions had failed once, its grace is 0. The planted fault of the stalled loop is refitted.

--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -39,6 +39,9 @@
 	firstEndpointsPoll = 20 * time.Millisecond
 )
 
+// maxLastReads bounds the reads of a watch that is ended: a message of the greatest size.
+const maxLastReads = platform.MaxEndpointListBytes / readSize
+
 var (
 	errWatchEnded      = errors.New("the watch ended")
 	errMessageTooLarge = fmt.Errorf("a message of more than %d bytes", platform.MaxEndpointListBytes)
@@ -79,6 +82,8 @@
 		endpoints:      map[string]config.Endpoint{},
 	}
 	w.readVersion.Store(version)
+	w.input.now = s.now
+	w.input.resume()
 	for _, e := range s.cfg.Endpoints {
 		w.endpoints[e.Name] = e
 	}
@@ -110,7 +115,7 @@
 		if received {
 			backoff = minWatchBackoff
 		}
-		w.input.waiting.Store(true)
+		w.input.wait()
 		select {
 		case <-addressChanged:
 			backoff = minWatchBackoff
@@ -119,7 +124,7 @@
 			return
 		case <-time.After(jitter(backoff)):
 		}
-		w.input.waiting.Store(false)
+		w.input.resume()
 		w.server.log.Warn("watch of discovery", "addr", address, "error", err, "seq", w.version)
 		backoff = min(2*backoff, maxWatchBackoff)
 	}
@@ -160,7 +165,7 @@
 // watchOnce runs one watch until it ends, and reports whether anything came of it.
 func (w *endpointWatch) watchOnce(ctx context.Context, address string) (received bool, err error) {
 	dialCtx, cancel := context.WithTimeout(ctx, watchDialTimeout)
-	w.input.waiting.Store(true)
+	w.input.wait()
 	socket, err := dialTCP(dialCtx, address, watchSilenceTimeout)
 	cancel()
 	if err != nil {
@@ -170,10 +175,10 @@
 	defer socket.releaseBuffer()
 	w.input.socket.Store(socket)
 	defer w.input.socket.Store(nil)
-	stop := context.AfterFunc(ctx, socket.close)
+	stop := context.AfterFunc(ctx, func() { socket.conn.SetReadDeadline(inThePast) }) // what has come is still read
 	defer stop()
 	socket.write(fmt.Appendf(nil, "GET /v1/endpoints?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.version, address))
-	body := newWatchBody(socket, &w.input, func() { // nothing has changed since the version that is held
+	body := newWatchBody(ctx, &w.input, socket, func() { // nothing has changed since the version that is held
 		received = true
 		w.server.postEndpoints(w.confirmation(socket, nil))
 	})
@@ -194,8 +199,10 @@
 // watchBody is the body of the answer to a watch as a stream, for as long as something comes: a message is one JSON value,
 // however it is laid out and wherever it is cut, with empty lines between.
 type watchBody struct {
-	socket       *socket
+	ctx          context.Context // of the watch: with its end, what has come is read and no more is waited for
 	input        *watchInput
+	socket       *socket
+	lastReads    int // reads after ctx has ended
 	responses    *http1.Reader
 	unparsed     []byte // bytes of the connection
 	unread       []byte // bytes of the body
@@ -203,8 +210,8 @@
 	onHeartbeat  func() // called for each part that is blank while no message has begun
 }
 
-func newWatchBody(socket *socket, input *watchInput, onHeartbeat func()) *watchBody {
-	body := &watchBody{socket: socket, input: input, responses: http1.NewResponses(http1.Limits{}), onHeartbeat: onHeartbeat}
+func newWatchBody(ctx context.Context, input *watchInput, socket *socket, onHeartbeat func()) *watchBody {
+	body := &watchBody{ctx: ctx, input: input, socket: socket, responses: http1.NewResponses(http1.Limits{}), onHeartbeat: onHeartbeat}
 	body.responses.Expect("GET")
 	return body
 }
@@ -235,8 +242,7 @@
 	}
 	switch part.Kind {
 	case http1.More:
-		b.socket.conn.SetReadDeadline(time.Now().Add(watchSilenceTimeout))
-		if b.unparsed, err = b.input.read(b.socket); err != nil {
+		if b.unparsed, err = b.readSocket(); err != nil {
 			return err
 		}
 	case http1.HeadEnd:
@@ -257,6 +263,19 @@
 	return nil
 }
 
+// readSocket waits for bytes, for watchSilenceTimeout at most, and not any more once the watch is to end: what has come by
+// then is read.
+func (b *watchBody) readSocket() ([]byte, error) {
+	b.socket.conn.SetReadDeadline(time.Now().Add(watchSilenceTimeout))
+	if b.ctx.Err() != nil {
+		b.socket.conn.SetReadDeadline(inThePast)
+		if b.lastReads++; b.lastReads > maxLastReads {
+			return nil, errWatchEnded
+		}
+	}
+	return b.input.read(b.socket)
+}
+
 // handleMessage hands a message of discovery to the event loop. An entry that can't be read is logged; what is held of it
 // stays. It fails where the message as a whole can't be read.
 func (w *endpointWatch) handleMessage(socket *socket, text []byte) error {
--- a/internal/server/drain_unseen_test.go
+++ b/internal/server/drain_unseen_test.go
@@ -1,8 +1,15 @@
 package server
 
 import (
+	"io"
+	"net"
 	"strings"
+	"sync"
 	"testing"
+	"time"
+
+	"sandyard/decision"
+	"sandyard/proxy"
 )
 
 // unseenNotice is a way in which a notice has reached the instance's machine and is not taken in before an attempt begins.
@@ -15,6 +22,47 @@
 
 func unseenNotices() []unseenNotice {
 	return []unseenNotice{
+		{"the notice was read with the message before it, which is still being handled", false, func(rig *drainRig) <-chan int {
+			held, release := rig.log.holdAt("list of boxes")
+			rig.Cleanup(release)
+			writeChunk(rig.watch, `{"seq":7,"whole":false,"hosts":[]}`+"\n"+drainsAForB(rig.draining.addr, rig.other))
+			rig.noticedAt = time.Now()
+			<-held
+			rig.waitPastGrace()
+			return rig.sendAndRelease(release)
+		}},
+		{"a heartbeat comes behind the unread notice, and a dial ends after both are read", false, func(rig *drainRig) <-chan int {
+			status, releaseLoop := rig.dialWhileHeld()
+			connected := takeQueued[backendConnected](rig.gateway)
+			releaseLoop()
+			releaseWatch := rig.holdWatch()
+			rig.notify()
+			rig.waitPastGrace()
+			writeChunk(rig.watch, "\n")
+			releaseWatch()
+			rig.waitForLog("endpoints departed")
+			rig.waitForLoop()
+			rig.server.post(connected)
+			return status
+		}},
+		{"a heartbeat comes behind the unread notice, and then the first request", false, func(rig *drainRig) <-chan int {
+			release := rig.holdWatch()
+			rig.notify()
+			rig.waitPastGrace()
+			writeChunk(rig.watch, "\n")
+			return rig.sendAndRelease(release)
+		}},
+		{"discovery is moved while the notice lies unread", false, func(rig *drainRig) <-chan int {
+			release := rig.holdWatch()
+			rig.notify()
+			moved := startAgent(rig.T, func(_ int, c net.Conn, _ string) {
+				io.WriteString(c, watchHead)
+				writeChunk(c, drainsAForB(rig.draining.addr, rig.other))
+			})
+			rig.server.SetAddresses(moved, "")
+			rig.waitPastGrace()
+			return rig.sendAndRelease(release)
+		}},
 		{"the log of an attempt holds up its first byte", true, func(rig *drainRig) <-chan int {
 			held, release := rig.log.holdAt("attempt during shutdown")
 			rig.Cleanup(release)
@@ -25,11 +73,53 @@
 			release()
 			return status
 		}},
+		{"the notice is queued while the message that begins the attempt is handled", false, func(rig *drainRig) <-chan int {
+			rig.restConnection()
+			held, release := rig.holdDecision()
+			status := rig.send(2)
+			<-held
+			rig.notify()
+			waitQueued[endpointsConfirmed](rig.gateway)
+			rig.waitPastGrace()
+			release()
+			return status
+		}},
 	}
 }
 
-// TestUnseenNoticeKeepsDrainGrace: a notice came between the check of an attempt and its first byte, and the attempt at the
-// draining backend began after the grace.
+// sendAndRelease sends a request, and calls release once it is answered.
+func (rig *drainRig) sendAndRelease(release func()) <-chan int {
+	rig.Helper()
+	answered := make(chan int, 1)
+	answered <- <-rig.send(2)
+	release()
+	return answered
+}
+
+// holdDecision holds the event loop up between the decision on the next request and what follows from it.
+func (rig *drainRig) holdDecision() (held <-chan struct{}, release func()) {
+	holding, released := make(chan struct{}), make(chan struct{})
+	hold := sync.OnceFunc(func() {
+		close(holding)
+		<-released
+	})
+	set := make(chan struct{})
+	rig.server.post(inspection(func(instance *proxy.Instance, _ time.Duration) {
+		instance.RecordDecision = func(step proxy.DecisionStep) {
+			if _, ok := step.Event.(decision.RequestArrived); ok {
+				hold()
+			}
+		}
+		close(set)
+	}))
+	<-set
+	release = sync.OnceFunc(func() { close(released) })
+	rig.Cleanup(release)
+	return holding, release
+}
+
+// TestUnseenNoticeKeepsDrainGrace: a notice that had reached the instance's machine was neither unread on the watch nor handled,
+// or the time of its arrival was lost, and an attempt at the draining backend began after the grace.
 func TestUnseenNoticeKeepsDrainGrace(t *testing.T) {
 	for _, unseen := range unseenNotices() {
 		for _, shutdown := range []bool{false, true} {
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -48,19 +48,22 @@
 }
 
 // postEndpoints queues messages of the endpoint list, in their order. They are handled ahead of all others, before the next
-// one: an attempt that is decided on, or begins, after a message was read goes by what it says.
+// one. Their number is bounded by what discovery sends.
 func (s *Server) postEndpoints(messages ...message) {
 	s.queueMu.Lock()
 	defer s.queueMu.Unlock()
 	if s.loopEnded {
 		return
 	}
+	if len(s.endpointQueue) == 0 {
+		s.endpointsQueuedAt = s.now()
+	}
 	s.endpointQueue = append(s.endpointQueue, messages...)
 	s.endpointsQueued.Store(true)
 	s.wakeLoopLocked()
 }
 
-// eventLoop owns the instance: it takes what is queued, hands it over in order, carries out the effects of each message
+// eventLoop owns the instance: it takes what is queued, hands it over in the order of each queue, carries out the effects of each message
 // before the next, and keeps the instance's timers. It waits for no peer (see carryOutEffects). Only Serve runs it.
 func (s *Server) eventLoop(stop <-chan struct{}) {
 	s.carryOutEffects(s.now())
@@ -101,8 +104,12 @@
 	s.carryOutEffects(now)
 }
 
-// handleEndpointMessages hands over the messages of the endpoint list that are queued.
+// handleEndpointMessages hands over the messages of the endpoint list that are queued, and those that the watch has still to
+// read, if it gets to that soon.
 func (s *Server) handleEndpointMessages() {
+	if s.discovery != nil {
+		s.discovery.input.letCatchUp()
+	}
 	if !s.endpointsQueued.Load() {
 		return
 	}
@@ -116,6 +123,19 @@
 	}
 }
 
+// endpointsUnhandledFor returns for how long a message of discovery has waited to be read or to be handled; 0: none waits. Only
+// the event loop calls it.
+func (s *Server) endpointsUnhandledFor() time.Duration {
+	now := s.now()
+	unhandledFor := s.discovery.input.unhandledFor(now)
+	if s.endpointsQueued.Load() {
+		s.queueMu.Lock()
+		unhandledFor = max(unhandledFor, now-s.endpointsQueuedAt)
+		s.queueMu.Unlock()
+	}
+	return unhandledFor
+}
+
 // fireTimers does what is due.
 func (s *Server) fireTimers() {
 	now := s.now()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -84,7 +84,8 @@
 	queueSpace    sync.Cond     // on queueMu: signalled when accepting may go on
 	wakeLoop      chan struct{} // buffered, capacity 1: one wake-up covers all messages queued until then
 
-	endpointsQueued atomic.Bool // endpointQueue has messages; set and cleared under queueMu
+	endpointsQueued   atomic.Bool   // endpointQueue has messages; set and cleared under queueMu
+	endpointsQueuedAt time.Duration // when the first of them was queued; of queueMu
 
 	endpointsFileMu sync.Mutex // held through a reading of the endpoint file, so that readings are handed over in their order
 
@@ -118,7 +119,7 @@
 		return nil, err
 	}
 	if s.discovery != nil {
-		s.instance.EndpointsUnreadFor = func() time.Duration { return s.discovery.input.unreadFor(s.now()) }
+		s.instance.EndpointsUnhandledFor = s.endpointsUnhandledFor
 	}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -115,6 +115,10 @@
 		File: "internal/server/eventloop.go",
 		Old:  "\t\tfor i, m := range batch {\n\t\t\ts.handleEndpointMessages()\n",
 		New:  "\t\tif len(batch) > 8 {\n\t\t\ttime.Sleep(400 * time.Millisecond)\n\t\t}\n\t\tfor i, m := range batch {\n",
+	}, {
+		File: "internal/server/eventloop.go",
+		Old:  "\tif s.endpointsQueued.Load() {\n\t\ts.queueMu.Lock()\n",
+		New:  "\tif false {\n\t\ts.queueMu.Lock()\n",
 	}}}},
 }
 
--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -12,9 +12,12 @@
 // was forgotten would have its effect twice.
 const usableKeyLife = 0.95
 
-// unreadGraceDivisor sets the part of a drain grace for which a message of the endpoint list may lie unread while attempts
+// unhandledGraceDivisor sets the part of a drain grace for which a message of the endpoint list may wait while attempts
 // begin: the first half. The other half is for the request to reach the backend.
-const unreadGraceDivisor = 2
+const unhandledGraceDivisor = 2
+
+// minUnhandledTime is for a message that has just come to be read and handed over, where a deployment has no drain grace.
+const minUnhandledTime = 20 * time.Millisecond
 
 // attempt is one sending of an exchange to a backend. It is decided on by the decision gateway, begins with its first
 // byte, and ends exactly once, with endAttempt.
@@ -99,7 +102,7 @@
 		return true
 	case backend.endpoint.State != decision.Up: // it drains and wants nothing new, or is gone, also where it still answers
 		return true
-	case inst.endpointsOutdated(): // what waits to be read may be that the backend drains
+	case inst.endpointsOutdated(): // what waits to be read or handled may be that the backend drains
 		return true
 	case ex.isProbe:
 		return false
@@ -114,11 +117,11 @@
 // endpointsOutdated reports whether a message of the endpoint list has waited for so long that a backend's drain grace may
 // end before a request is there.
 func (inst *Instance) endpointsOutdated() bool {
-	if inst.EndpointsUnreadFor == nil {
+	if inst.EndpointsUnhandledFor == nil {
 		return false
 	}
-	unreadFor := inst.EndpointsUnreadFor()
-	return unreadFor > 0 && unreadFor >= inst.shared.Config.Settings.DrainGrace/unreadGraceDivisor
+	allowed := inst.shared.Config.Settings.DrainGrace / unhandledGraceDivisor
+	return inst.EndpointsUnhandledFor() >= max(allowed, minUnhandledTime)
 }
 
 // keyMayHaveExpired reports whether an attempt would repeat what an earlier one may have run, so late that backends may
--- a/proxy/instance.go
+++ b/proxy/instance.go
@@ -33,9 +33,9 @@
 	// RecordDecision, if set, is called by the owner's methods with each step of the decision gateway, in order. It must
 	// not block, nor change what it is given.
 	RecordDecision func(DecisionStep)
-	// EndpointsUnreadFor, if set, is called just before an attempt begins. It returns for how long a message of the endpoint
-	// list has waited to be read; 0: none waits. It must not block.
-	EndpointsUnreadFor func() time.Duration
+	// EndpointsUnhandledFor, if set, is called just before an attempt begins. It returns for how long a message of the endpoint
+	// list has waited to be read or to be handed over; 0: none waits. It must not block.
+	EndpointsUnhandledFor func() time.Duration
 
 	shared  *Shared
 	gateway *decision.Gateway
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -25,7 +25,7 @@
 		inst.writeAttempt(conn, ex, index)
 		return
 	}
-	if !inst.makeRoom(backend, maxIdle) {
+	if inst.endpointsOutdated() || !inst.makeRoom(backend, maxIdle) { // a connection would be made for nothing
 		inst.endAttemptWithOutcome(ex, index, decision.NotSent, false)
 		return
 	}
