--- a/internal/server/drain_order_test.go
+++ b/internal/server/drain_order_test.go
@@ -50,12 +50,18 @@
 func startDrainRig(t *testing.T) *drainRig {
 	t.Helper()
 	rig := newDrainRig(t)
+	rig.startReady()
+	return rig
+}
+
+// startReady starts the instance and waits until its watch stands and it is ready.
+func (rig *drainRig) startReady() {
+	rig.Helper()
 	rig.start()
 	rig.watch = <-rig.watches
 	for rig.status(readyRequest) != 200 {
 		runtime.Gosched()
 	}
-	return rig
 }
 
 // newDrainRig is a drainRig whose instance is not started.
@@ -89,7 +95,12 @@
 // notify writes the notice by which backend a drains and b is up.
 func (rig *drainRig) notify() {
 	rig.Helper()
-	writeChunk(rig.watch, drainsAForB(rig.draining.addr, rig.other))
+	rig.write(drainsAForB(rig.draining.addr, rig.other))
+}
+
+// write writes a message of discovery that takes backend a out of use.
+func (rig *drainRig) write(notice string) {
+	writeChunk(rig.watch, notice)
 	rig.noticedAt = time.Now()
 }
 
