Tests of attempts that begin after a notice: first, retried, after the counter, checks

Only retries in a shutdown were tested over sockets. A planted change that keeps departed backends choosable and drops the check before the first byte fails the cases of a drain (health checks: outside of a shutdown only, within one the process ends too soon). The product has no hedged requests.

--- /dev/null
+++ b/internal/server/drain_departed_test.go
@@ -0,0 +1,151 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// healthCheckInterval is how often the instance checks one of its backends.
+const healthCheckInterval = 300 * time.Millisecond
+
+// startHoldingCounter is a counter that answers no call until release is called; called is closed with the first.
+func startHoldingCounter(t *testing.T) (addr string, called <-chan struct{}, release func()) {
+	received, held := make(chan struct{}), make(chan struct{})
+	receive := sync.OnceFunc(func() { close(received) })
+	addr = startScriptedPeer(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			if _, err := in.ReadString('\n'); err != nil {
+				return
+			}
+			receive()
+			<-held
+			io.WriteString(c, "ok 1\r\n")
+		}
+	})
+	release = sync.OnceFunc(func() { close(held) })
+	t.Cleanup(release)
+	return addr, received, release
+}
+
+// startRejectingBackend is a backend that turns every request away without running it.
+func startRejectingBackend(t *testing.T) string {
+	return startScriptedPeer(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			io.WriteString(c, notRun)
+		}
+	})
+}
+
+// lateBeginning is a way in which an attempt begins long after a notice was handled. prepare runs before the instance
+// does. begin is called when it is ready, and returns what lets the attempt begin.
+type lateBeginning struct {
+	name    string
+	prepare func(rig *drainRig)
+	begin   func(rig *drainRig) (attempt func())
+}
+
+func lateBeginnings() []lateBeginning {
+	var releaseCounter func()
+	var called <-chan struct{}
+	return []lateBeginning{
+		{"a first attempt", func(*drainRig) {}, func(rig *drainRig) func() {
+			return func() { rig.requireAnswer(200, rig.send(3)) }
+		}},
+		{"a retry of what another backend turned away", func(rig *drainRig) { rig.other = startRejectingBackend(rig.T) }, func(rig *drainRig) func() {
+			return func() { rig.requireAnswer(503, rig.send(3)) }
+		}},
+		{"a retry of what the departed backend turned away", func(rig *drainRig) {
+			rig.draining.turnsAway, rig.draining.got = make(chan struct{}), make(chan struct{}, 1)
+		}, func(rig *drainRig) func() {
+			status := rig.send(3)
+			<-rig.draining.got
+			return func() { close(rig.draining.turnsAway); rig.requireAnswer(200, status) }
+		}},
+		{"a request that waited for the counter", func(rig *drainRig) {
+			rig.counter, called, releaseCounter = startHoldingCounter(rig.T)
+			rig.settings, rig.quota = `"specifics":{"shared-counter":true,"count-limit-ms":4000,"units-top":6},`, 2
+		}, func(rig *drainRig) func() {
+			status := rig.sendUntil(called)
+			return func() { releaseCounter(); rig.requireAnswer(200, status) }
+		}},
+		{"health checks", func(rig *drainRig) {
+			rig.settings = `"feedback":{"via":"pull","names":["busy_reqs"]},`
+		}, func(rig *drainRig) func() {
+			rig.waitForRequest("") // a health check has no id
+			return func() { time.Sleep(4 * healthCheckInterval) }
+		}},
+	}
+}
+
+// sendUntil sends requests until something has happened, and returns the answer to the last, which is still owed.
+func (rig *drainRig) sendUntil(happened <-chan struct{}) <-chan int {
+	rig.Helper()
+	for id := 10; id < 100; id++ {
+		status := rig.send(id)
+		select {
+		case <-happened:
+			return status
+		case <-status:
+		}
+	}
+	rig.Fatal("it does not happen in 90 requests")
+	return nil
+}
+
+// requireAnswer fails if the status of an answer is another.
+func (rig *drainRig) requireAnswer(want int, status <-chan int) {
+	rig.Helper()
+	if got := <-status; got != want {
+		rig.Errorf("the request's answer: %d, want %d", got, want)
+	}
+}
+
+// waitForRequest waits until backend a has got a request with an id.
+func (rig *drainRig) waitForRequest(id string) {
+	rig.Helper()
+	for limit := time.Now().Add(orderTimeout); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		for _, request := range rig.draining.received() {
+			if request.id == id {
+				return
+			}
+		}
+	}
+	rig.Fatalf("backend a gets no request %q", id)
+}
+
+// TestNothingBeginsAtDepartedBackend: whatever begins an attempt once a notice has been handled for a drain grace, in a
+// shutdown and not, no byte of it reaches the departed backend.
+func TestNothingBeginsAtDepartedBackend(t *testing.T) {
+	for name, departure := range departures {
+		for i := range lateBeginnings() {
+			for _, shutdown := range []bool{false, true} {
+				late := lateBeginnings()[i] // each has its own counter
+				t.Run(fmt.Sprintf("%s, %s, shutdown=%v", late.name, name, shutdown), func(t *testing.T) {
+					t.Parallel()
+					rig := newDrainRig(t)
+					late.prepare(rig)
+					rig.startReady()
+					attempt := late.begin(rig)
+					if shutdown {
+						rig.shutDown()
+					}
+					rig.write(fmt.Sprintf(departure, rig.draining.addr, rig.other))
+					rig.waitForLog("seq=8")
+					rig.waitForLoop()
+					rig.waitPastGrace()
+					attempt()
+					rig.requireDrainKept()
+				})
+			}
+		}
+	}
+}
--- a/internal/server/drain_order_test.go
+++ b/internal/server/drain_order_test.go
@@ -30,12 +30,12 @@
 	orderTimeout = 10 * time.Second
 )
 
-// drainConfig is the configuration of an instance with a drain grace, whose requests are decided on as they arrive. Its
-// verbs are for the address of discovery, that of backend a, and the grace in milliseconds.
-const drainConfig = `{"name":"n0","listen":"127.0.0.1:1","discovery":"%s","seed":"1f","limits":{"cores":1,"sockets":64},
+// drainConfig is the configuration of an instance with a drain grace. Its verbs are for the address of discovery, that of
+// the counter, that of backend a, the grace in milliseconds, further settings, and the quota of the plan.
+const drainConfig = `{"name":"n0","listen":"127.0.0.1:1","discovery":"%s","counter":"%s","seed":"1f","limits":{"cores":1,"sockets":64},
 "known":{"seq":7,"whole":true,"hosts":[{"host":"a","dial":"%s","health":"active","share":1}]},
-"settings":{"me":0,"peers-total":2,"rules":{"drain-grace-ms":%d},"limits":{"max-attempts":3,"connect-timeout-ms":4000},
-"services":[{"name":"look","semantics":"retryable","aim-ms":2000,"deadline-ms":5000}],"plans":[{"name":"team","refill":1000,"store-size":1000}]}}`
+"settings":{"me":0,"peers-total":2,"rules":{"drain-grace-ms":%d},"limits":{"max-attempts":3,"connect-timeout-ms":4000,"probes":true},%s
+"services":[{"name":"look","semantics":"retryable","aim-ms":2000,"deadline-ms":5000}],"plans":[{"name":"team","refill":%[6]d,"store-size":%[6]d}]}}`
 
 // drainRig is an instance whose only backend, a, drains in the test.
 type drainRig struct {
@@ -45,6 +45,11 @@
 	watches   chan net.Conn // watches of discovery, each after its first empty line
 	watch     net.Conn      // the one that stands
 	noticedAt time.Time     // when discovery had written the notice
+
+	// Of the configuration.
+	counter  string // address
+	settings string // further ones
+	quota    int    // requests a second
 }
 
 func startDrainRig(t *testing.T) *drainRig {
@@ -66,7 +71,7 @@
 
 // newDrainRig is a drainRig whose instance is not started.
 func newDrainRig(t *testing.T) *drainRig {
-	rig := &drainRig{draining: startTimedBackend(t), other: startNamedBackend(t, "b"), watches: make(chan net.Conn, 16)}
+	rig := &drainRig{draining: startTimedBackend(t), other: startNamedBackend(t, "b"), watches: make(chan net.Conn, 16), quota: 1000}
 	rig.gateway = &gateway{T: t, log: &logBuffer{more: make(chan struct{}, 1)}, served: make(chan error, 1)}
 	return rig
 }
@@ -85,7 +90,7 @@
 // startAt starts the instance with a discovery at an address.
 func (rig *drainRig) startAt(discovery string) {
 	rig.Helper()
-	n, err := platform.ParseConfig(fmt.Appendf(nil, drainConfig, discovery, rig.draining.addr, testDrainGrace.Milliseconds()))
+	n, err := platform.ParseConfig(fmt.Appendf(nil, drainConfig, discovery, rig.counter, rig.draining.addr, testDrainGrace.Milliseconds(), rig.settings, rig.quota))
 	if err != nil {
 		rig.Fatal(err)
 	}
@@ -210,6 +215,9 @@
 // timedBackend answers each request with 200 and keeps when its first byte came, as the kernel tells.
 type timedBackend struct {
 	addr string
+	// Set before it is used: where turnsAway is set, a request is announced by got, and turned away without being run once
+	// turnsAway is closed.
+	turnsAway, got chan struct{}
 
 	mu       sync.Mutex
 	requests []timedRequest
@@ -247,7 +255,13 @@
 	backend.mu.Lock()
 	backend.requests = append(backend.requests, timedRequest{request.Header.Get("X-Request-Id"), firstByteAt})
 	backend.mu.Unlock()
-	_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na")
+	response := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+	if backend.turnsAway != nil {
+		backend.got <- struct{}{}
+		<-backend.turnsAway
+		response = notRun
+	}
+	_, err = io.WriteString(c, response)
 	return err == nil
 }
 
