Tests of lists that are older or repeated, backends that return, watches that fail

Left untested, because the pages leave it open: an older whole list that names a departed backend as active.

--- /dev/null
+++ b/internal/server/drain_list_test.go
@@ -0,0 +1,202 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// TestOlderListKeepsDepartedBackendOut: discovery that was behind repeated what it had said before a backend departed. By
+// changes of an older version, and by a whole list that does not name it, the backend stays out of use. What a whole list of
+// an older version says that names it as active, the platform's pages leave open.
+func TestOlderListKeepsDepartedBackendOut(t *testing.T) {
+	for name, older := range map[string]string{
+		"older changes name it as active":  `{"seq":7,"whole":false,"hosts":[{"host":"a","dial":"%[1]s","health":"active","share":1}]}%.0[2]s`,
+		"an older whole list lacks it":     `{"seq":7,"whole":true,"hosts":[{"host":"b","dial":"%[2]s","health":"active","share":1}]}%.0[1]s`,
+		"an older whole list has it drain": `{"seq":7,"whole":true,"hosts":[{"host":"a","dial":"%[1]s","health":"leaving","share":1},{"host":"b","dial":"%[2]s","health":"active","share":1}]}`,
+	} {
+		for departure, notice := range departures {
+			t.Run(departure+", "+name, func(t *testing.T) {
+				t.Parallel()
+				rig := startDrainRig(t)
+				status, release := rig.dialWhileHeld()
+				connected := takeQueued[backendConnected](rig.gateway)
+				release()
+				rig.write(fmt.Sprintf(notice, rig.draining.addr, rig.other))
+				rig.waitForLog("seq=8")
+				writeChunk(rig.watch, fmt.Sprintf(older, rig.draining.addr, rig.other))
+				rig.waitForLog("seq=7")
+				rig.waitForLoop()
+				rig.waitPastGrace()
+				rig.server.post(connected)
+				rig.requireAnswer(200, status)
+				rig.requireAnswer(200, rig.send(3))
+				rig.requireDrainKept()
+			})
+		}
+	}
+}
+
+// repeated are ways in which discovery names a departed backend once more.
+var repeated = map[string]string{
+	"drains still":       `{"seq":9,"whole":false,"hosts":[{"host":"a","dial":"%[1]s","health":"leaving","share":2}]}%.0[2]s`,
+	"is removed now":     `{"seq":9,"whole":false,"hosts":[{"host":"a","dial":"%[1]s","health":"left","share":1}]}%.0[2]s`,
+	"is in a whole list": `{"seq":9,"whole":true,"hosts":[{"host":"a","dial":"%[1]s","health":"leaving","share":1},{"host":"b","dial":"%[2]s","health":"active","share":1}]}`,
+}
+
+// TestRepeatedNoticeBeginsNoNewGrace: a further message about a draining backend must not begin its grace anew for an
+// attempt that waits for its connection.
+func TestRepeatedNoticeBeginsNoNewGrace(t *testing.T) {
+	for name, repetition := range repeated {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rig := startDrainRig(t)
+			status, release := rig.dialWhileHeld()
+			connected := takeQueued[backendConnected](rig.gateway)
+			release()
+			rig.notify()
+			rig.waitForLog("seq=8")
+			rig.waitPastGrace()
+			writeChunk(rig.watch, fmt.Sprintf(repetition, rig.draining.addr, rig.other))
+			rig.waitForLog("seq=9")
+			rig.waitForLoop()
+			rig.server.post(connected)
+			rig.requireAnswer(200, status)
+			rig.requireDrainKept()
+		})
+	}
+}
+
+// returnsAs are changes by which backend a is another process from now on; %[1]s is the address of the old one, %[2]s that
+// of the new one.
+var returnsAs = map[string]string{
+	"at another address":                        `{"seq":9,"whole":false,"hosts":[{"host":"a","dial":"%[2]s","health":"active","share":1}]}%.0[1]s`,
+	"at another address, in a whole list":       `{"seq":9,"whole":true,"hosts":[{"host":"a","dial":"%[2]s","health":"active","share":1}]}%.0[1]s`,
+	"at another address, with its start's time": `{"seq":9,"whole":false,"hosts":[{"host":"a","dial":"%[2]s","health":"active","share":1,"born_ms":1700000000000}]}%.0[1]s`,
+}
+
+// TestBackendReturnsAsAnotherProcessWhileItDrains: a backend came back under its name as another process while the old one
+// drained. An attempt that was decided on for the old process must not reach it late, nor must a connection to it be used.
+func TestBackendReturnsAsAnotherProcessWhileItDrains(t *testing.T) {
+	for name, returns := range returnsAs {
+		for departure, notice := range departures {
+			for _, shutdown := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s %s, shutdown=%v", departure, name, shutdown), func(t *testing.T) {
+					t.Parallel()
+					successor := startNamedBackend(t, "a again") // ends after the instance
+					rig := startDrainRig(t)
+					if shutdown {
+						rig.shutDown()
+					}
+					status, release := rig.dialWhileHeld()
+					connected := takeQueued[backendConnected](rig.gateway)
+					release()
+					rig.write(fmt.Sprintf(notice, rig.draining.addr, rig.other))
+					rig.waitForLog("seq=8")
+					writeChunk(rig.watch, fmt.Sprintf(returns, rig.draining.addr, successor))
+					rig.waitForLog("seq=9")
+					rig.waitForLoop()
+					rig.waitPastGrace()
+					rig.server.post(connected)
+					rig.requireAnswer(200, status)
+					rig.requireAnswer(200, rig.send(3))
+					rig.requireDrainKept()
+				})
+			}
+		}
+	}
+}
+
+// failingWatch is a way in which the watch fails just before SIGTERM.
+type failingWatch struct {
+	name string
+	// fail has the watch fail; what it misses counts as known after bound.
+	fail  func(rig *drainRig, discovery *failingDiscovery)
+	bound time.Duration
+}
+
+// failingDiscovery is discovery whose first watch stands and says nothing after its first empty line; the next one begins
+// with the notice.
+type failingDiscovery struct {
+	addr    string
+	watches chan net.Conn // the first one
+}
+
+func (rig *drainRig) startFailingDiscovery() *failingDiscovery {
+	discovery := &failingDiscovery{watches: make(chan net.Conn, 1)}
+	discovery.addr = startAgent(rig.T, func(n int, c net.Conn, _ string) {
+		io.WriteString(c, watchHead)
+		if n > 1 {
+			writeChunk(c, drainsAForB(rig.draining.addr, rig.other))
+			return
+		}
+		writeChunk(c, "\n")
+		discovery.watches <- c
+	})
+	return discovery
+}
+
+func failingWatches() []failingWatch {
+	return []failingWatch{
+		{"falls silent", func(*drainRig, *failingDiscovery) {}, 6 * time.Second},
+		{"breaks", func(_ *drainRig, discovery *failingDiscovery) { (<-discovery.watches).Close() }, 6 * time.Second},
+		{"is moved to where dials hang", func(rig *drainRig, _ *failingDiscovery) {
+			slow := startSlowListener(rig.T, func(c net.Conn, _ *bufio.Reader) {
+				io.WriteString(c, watchHead)
+				writeChunk(c, drainsAForB(rig.draining.addr, rig.other))
+				io.Copy(io.Discard, c)
+			})
+			rig.server.SetAddresses(slow.addr, "")
+			opens := time.AfterFunc(watchDialTimeout*3/2, slow.open)
+			rig.Cleanup(func() { opens.Stop() })
+		}, 4 * time.Second},
+	}
+}
+
+// TestWatchThatFailsBeforeShutdown: the watch failed just before SIGTERM, and discovery told of a drain meanwhile. A request
+// that is out keeps the instance running; what the watch missed is handled before it counts as known, and no retry goes to
+// the backend.
+func TestWatchThatFailsBeforeShutdown(t *testing.T) {
+	for _, failing := range failingWatches() {
+		t.Run(failing.name, func(t *testing.T) {
+			t.Parallel()
+			rig := newDrainRig(t)
+			rig.draining.turnsAway, rig.draining.got = make(chan struct{}), make(chan struct{}, 1)
+			discovery := rig.startFailingDiscovery()
+			rig.startAt(discovery.addr)
+			if !rig.isReadyWithin(orderTimeout) {
+				t.Fatal("not ready")
+			}
+			status := rig.send(2)
+			<-rig.draining.got
+			failed := time.Now()
+			failing.fail(rig, discovery)
+			rig.shutDown()
+			rig.waitForLog("seq=8")
+			rig.waitForLoop()
+			if took := time.Since(failed); took > failing.bound {
+				t.Errorf("handled after %v, it counts as known after %v", took, failing.bound)
+			}
+			rig.noticedAt = time.Now()
+			close(rig.draining.turnsAway)
+			if s := <-status; s != 200 && s != 503 { // little time may be left
+				t.Errorf("the request's answer: %d", s)
+			}
+			rig.requireDrainKept()
+		})
+	}
+}
+
+// isReadyWithin reports whether the instance gets ready within a time.
+func (rig *drainRig) isReadyWithin(d time.Duration) bool {
+	for limit := time.Now().Add(d); time.Now().Before(limit); runtime.Gosched() {
+		if rig.status(readyRequest) == 200 {
+			return true
+		}
+	}
+	return false
+}
