Order tests: a dial that comes up after the event loop; failed tests end at once

A test of this file whose instance missed a notice hung in its cleanup, since the backend went on holding its request: the hold ends with the test.

--- a/internal/server/drain_departed_test.go
+++ b/internal/server/drain_departed_test.go
@@ -54,8 +54,8 @@
 }
 
 func lateBeginnings() []lateBeginning {
-	var releaseCounter func()
-	var called <-chan struct{}
+	var releaseCounter, turnAway func()
+	var called, got <-chan struct{}
 	return []lateBeginning{
 		{"a first attempt", func(*drainRig) {}, func(rig *drainRig) func() {
 			return func() { rig.requireAnswer(200, rig.send(3)) }
@@ -64,11 +64,11 @@
 			return func() { rig.requireAnswer(503, rig.send(3)) }
 		}},
 		{"a retry of what the departed backend turned away", func(rig *drainRig) {
-			rig.draining.turnsAway, rig.draining.got = make(chan struct{}), make(chan struct{}, 1)
+			got, turnAway = rig.holdDraining()
 		}, func(rig *drainRig) func() {
 			status := rig.send(3)
-			<-rig.draining.got
-			return func() { close(rig.draining.turnsAway); rig.requireAnswer(200, status) }
+			<-got
+			return func() { turnAway(); rig.requireAnswer(200, status) }
 		}},
 		{"a request that waited for the counter", func(rig *drainRig) {
 			rig.counter, called, releaseCounter = startHoldingCounter(rig.T)
--- a/internal/server/drain_dial_test.go
+++ b/internal/server/drain_dial_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -96,3 +97,33 @@
 func (rig *drainRig) waitPastGrace() {
 	time.Sleep(time.Until(rig.noticedAt.Add(testDrainGrace + 2*socketSlack)))
 }
+
+// TestNoRequestBeginsAfterShutdown: the dial of a request was out as the event loop ended, its client having left, and its
+// connection came up afterwards. Nothing is written on it.
+func TestNoRequestBeginsAfterShutdown(t *testing.T) {
+	rig := newDrainRig(t)
+	came := make(chan struct{}, 16)
+	slow := startSlowListener(t, func(c net.Conn, in *bufio.Reader) {
+		if _, err := in.Peek(1); err == nil {
+			came <- struct{}{}
+		}
+	})
+	rig.draining.addr = slow.addr
+	rig.startReady()
+	release := rig.hold()
+	client := rig.dial()
+	io.WriteString(client, nodeRequest(2))
+	waitQueued[requestArrived](rig.gateway)
+	release()
+	rig.waitForLoop() // its dial has begun
+	client.Close()
+	rig.stop()
+	rig.requireEnd(orderTimeout)
+	slow.open()
+	time.Sleep(time.Second) // after which the kernel has tried the dial again, had it not been ended
+	select {
+	case <-came:
+		t.Error("a byte of the request came after the event loop had ended")
+	default:
+	}
+}
--- a/internal/server/drain_list_test.go
+++ b/internal/server/drain_list_test.go
@@ -165,14 +165,14 @@
 		t.Run(failing.name, func(t *testing.T) {
 			t.Parallel()
 			rig := newDrainRig(t)
-			rig.draining.turnsAway, rig.draining.got = make(chan struct{}), make(chan struct{}, 1)
+			got, turnAway := rig.holdDraining()
 			discovery := rig.startFailingDiscovery()
 			rig.startAt(discovery.addr)
 			if !rig.isReadyWithin(orderTimeout) {
 				t.Fatal("not ready")
 			}
 			status := rig.send(2)
-			<-rig.draining.got
+			<-got
 			failed := time.Now()
 			failing.fail(rig, discovery)
 			rig.shutDown()
@@ -182,7 +182,7 @@
 				t.Errorf("handled after %v, it counts as known after %v", took, failing.bound)
 			}
 			rig.noticedAt = time.Now()
-			close(rig.draining.turnsAway)
+			turnAway()
 			if s := <-status; s != 200 && s != 503 { // little time may be left
 				t.Errorf("the request's answer: %d", s)
 			}
--- a/internal/server/drain_order_test.go
+++ b/internal/server/drain_order_test.go
@@ -215,8 +215,7 @@
 // timedBackend answers each request with 200 and keeps when its first byte came, as the kernel tells.
 type timedBackend struct {
 	addr string
-	// Set before it is used: where turnsAway is set, a request is announced by got, and turned away without being run once
-	// turnsAway is closed.
+	// Set by holdDraining: a request is announced by got, and turned away without being run once turnsAway is closed.
 	turnsAway, got chan struct{}
 
 	mu       sync.Mutex
@@ -271,6 +270,15 @@
 	return slices.Clone(backend.requests)
 }
 
+// holdDraining has backend a hold its requests until turnAway is called; then it turns them away without running them. It is
+// called before the instance runs. got has an entry for each request.
+func (rig *drainRig) holdDraining() (got <-chan struct{}, turnAway func()) {
+	rig.draining.turnsAway, rig.draining.got = make(chan struct{}), make(chan struct{}, 16)
+	turnAway = sync.OnceFunc(func() { close(rig.draining.turnsAway) })
+	rig.Cleanup(turnAway)
+	return rig.draining.got, turnAway
+}
+
 // shutDown begins a shutdown of the instance.
 func (rig *drainRig) shutDown() {
 	rig.stop()
