--- a/internal/server/drain_order_test.go
+++ b/internal/server/drain_order_test.go
@@ -30,12 +30,12 @@
 	orderTimeout = 10 * time.Second
 )
 
-// drainConfig is the configuration of an instance with a drain grace, whose requests are decided on as they arrive. Its
-// verbs are for the address of discovery, that of backend a, and the grace in milliseconds.
-const drainConfig = `{"name":"n0","listen":"127.0.0.1:1","discovery":"%s","seed":"1f","limits":{"cores":1,"sockets":64},
+// drainConfig is the configuration of an instance with a drain grace. Its verbs are for the address of discovery, that of
+// the counter, that of backend a, the grace in milliseconds, further settings, and the quota of the plan.
+const drainConfig = `{"name":"n0","listen":"127.0.0.1:1","discovery":"%s","counter":"%s","seed":"1f","limits":{"cores":1,"sockets":64},
 "known":{"seq":7,"whole":true,"hosts":[{"host":"a","dial":"%s","health":"active","share":1}]},
-"settings":{"me":0,"peers-total":2,"rules":{"drain-grace-ms":%d},"limits":{"max-attempts":3,"connect-timeout-ms":4000},
-"services":[{"name":"look","semantics":"retryable","aim-ms":2000,"deadline-ms":5000}],"plans":[{"name":"team","refill":1000,"store-size":1000}]}}`
+"settings":{"me":0,"peers-total":2,"rules":{"drain-grace-ms":%d},"limits":{"max-attempts":3,"connect-timeout-ms":4000,"probes":true},%s
+"services":[{"name":"look","semantics":"retryable","aim-ms":2000,"deadline-ms":5000}],"plans":[{"name":"team","refill":%[6]d,"store-size":%[6]d}]}}`
 
 // drainRig is an instance whose only backend, a, drains in the test.
 type drainRig struct {
@@ -45,22 +45,33 @@
 	watches   chan net.Conn // watches of discovery, each after its first empty line
 	watch     net.Conn      // the one that stands
 	noticedAt time.Time     // when discovery had written the notice
+
+	// Of the configuration.
+	counter  string // address
+	settings string // further ones
+	quota    int    // requests a second
 }
 
 func startDrainRig(t *testing.T) *drainRig {
 	t.Helper()
 	rig := newDrainRig(t)
+	rig.startReady()
+	return rig
+}
+
+// startReady starts the instance and waits until its watch stands and it is ready.
+func (rig *drainRig) startReady() {
+	rig.Helper()
 	rig.start()
 	rig.watch = <-rig.watches
 	for rig.status(readyRequest) != 200 {
 		runtime.Gosched()
 	}
-	return rig
 }
 
 // newDrainRig is a drainRig whose instance is not started.
 func newDrainRig(t *testing.T) *drainRig {
-	rig := &drainRig{draining: startTimedBackend(t), other: startNamedBackend(t, "b"), watches: make(chan net.Conn, 16)}
+	rig := &drainRig{draining: startTimedBackend(t), other: startNamedBackend(t, "b"), watches: make(chan net.Conn, 16), quota: 1000}
 	rig.gateway = &gateway{T: t, log: &logBuffer{more: make(chan struct{}, 1)}, served: make(chan error, 1)}
 	return rig
 }
@@ -79,7 +90,7 @@
 // startAt starts the instance with a discovery at an address.
 func (rig *drainRig) startAt(discovery string) {
 	rig.Helper()
-	n, err := platform.ParseConfig(fmt.Appendf(nil, drainConfig, discovery, rig.draining.addr, testDrainGrace.Milliseconds()))
+	n, err := platform.ParseConfig(fmt.Appendf(nil, drainConfig, discovery, rig.counter, rig.draining.addr, testDrainGrace.Milliseconds(), rig.settings, rig.quota))
 	if err != nil {
 		rig.Fatal(err)
 	}
@@ -89,7 +100,12 @@
 // notify writes the notice by which backend a drains and b is up.
 func (rig *drainRig) notify() {
 	rig.Helper()
-	writeChunk(rig.watch, drainsAForB(rig.draining.addr, rig.other))
+	rig.write(drainsAForB(rig.draining.addr, rig.other))
+}
+
+// write writes a message of discovery that takes backend a out of use.
+func (rig *drainRig) write(notice string) {
+	writeChunk(rig.watch, notice)
 	rig.noticedAt = time.Now()
 }
 
@@ -201,6 +217,8 @@
 // timedBackend answers each request with 200 and keeps when its first byte came, as the kernel tells.
 type timedBackend struct {
 	addr string
+	// Set by holdDraining: a request is announced by got, and turned away without being run once turnsAway is closed.
+	turnsAway, got chan struct{}
 
 	mu       sync.Mutex
 	requests []timedRequest
@@ -238,7 +256,13 @@
 	backend.mu.Lock()
 	backend.requests = append(backend.requests, timedRequest{request.Header.Get("X-Request-Id"), firstByteAt})
 	backend.mu.Unlock()
-	_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na")
+	response := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+	if backend.turnsAway != nil {
+		backend.got <- struct{}{}
+		<-backend.turnsAway
+		response = notRun
+	}
+	_, err = io.WriteString(c, response)
 	return err == nil
 }
 
@@ -248,6 +272,15 @@
 	return slices.Clone(backend.requests)
 }
 
+// holdDraining has backend a hold its requests until turnAway is called; then it turns them away without running them. It is
+// called before the instance runs. got has an entry for each request.
+func (rig *drainRig) holdDraining() (got <-chan struct{}, turnAway func()) {
+	rig.draining.turnsAway, rig.draining.got = make(chan struct{}), make(chan struct{}, 16)
+	turnAway = sync.OnceFunc(func() { close(rig.draining.turnsAway) })
+	rig.Cleanup(turnAway)
+	return rig.draining.got, turnAway
+}
+
 // shutDown begins a shutdown of the instance.
 func (rig *drainRig) shutDown() {
 	rig.stop()
@@ -274,32 +307,36 @@
 	return status, release
 }
 
-// TestHeldUpAttemptIsWithinDrainGrace: an attempt whose connection came up just before half of the drain grace was over was
-// held up, as long as an instance may be, between the reading of the clock and its first byte. The grace covers both.
+// TestHeldUpAttemptIsWithinDrainGrace: an attempt whose connection came up within the drain grace was held up, as long as
+// an instance may be, between the reading of the clock and its first byte. The grace covers both.
 func TestHeldUpAttemptIsWithinDrainGrace(t *testing.T) {
-	for _, shutdown := range []bool{false, true} {
-		t.Run(fmt.Sprintf("shutdown=%v", shutdown), func(t *testing.T) {
-			t.Parallel()
-			rig := startDrainRig(t)
-			if shutdown {
-				rig.shutDown()
-			}
-			status, release := rig.dialWhileHeld()
-			connected := takeQueued[backendConnected](rig.gateway)
-			rig.notify()
-			waitQueued[endpointsConfirmed](rig.gateway)
-			release()
-			rig.waitForLoop()
-			time.Sleep(time.Until(rig.noticedAt.Add(testDrainGrace/2 - socketSlack)))
-			held, release := rig.holdQueued()
-			<-held
-			rig.server.post(connected)
-			time.Sleep(allowedHoldUp)
-			release()
-			if s := <-status; s != 200 {
-				t.Errorf("the request's answer: %d", s)
-			}
-			rig.requireDrainKept()
-		})
+	for _, dial := range []time.Duration{testDrainGrace/2 - socketSlack, testDrainGrace/2 + socketSlack, testDrainGrace - socketSlack} {
+		for _, shutdown := range []bool{false, true} {
+			t.Run(fmt.Sprintf("after %v, shutdown=%v", dial, shutdown), func(t *testing.T) {
+				t.Parallel()
+				rig := startDrainRig(t)
+				if shutdown {
+					rig.shutDown()
+				}
+				status, release := rig.dialWhileHeld()
+				connected := takeQueued[backendConnected](rig.gateway)
+				rig.notify()
+				waitQueued[endpointsConfirmed](rig.gateway)
+				release()
+				rig.waitForLoop()
+				time.Sleep(time.Until(rig.noticedAt.Add(dial)))
+				releaseBatch := rig.hold()
+				held, release := rig.holdQueued()
+				rig.server.post(connected)
+				releaseBatch()
+				<-held // the clock has been read for both
+				time.Sleep(allowedHoldUp)
+				release()
+				if s := <-status; s != 200 {
+					t.Errorf("the request's answer: %d", s)
+				}
+				rig.requireDrainKept()
+			})
+		}
 	}
 }
