The soak: three instances that end one after another while backends leave in waves

Change: scenario waves: three instances with an agent, a counter and clients of their own share the backends, which became a group apart from the run; SIGTERMs and departures come 0.2 to 0.45 s apart, so that one falls into each part of a shutdown. Each instance is judged by its own record and the reports are added up.

--- a/internal/soak/batch.go
+++ b/internal/soak/batch.go
@@ -37,7 +37,7 @@
 // openBatch opens the connections of the batch.
 func (r *run) openBatch() {
 	for i := range r.plan.Batch.Size {
-		c := newClient(r, r.plan.Clients+r.plan.Resting+i)
+		c := newClient(r, r.firstClient+r.plan.Clients+r.plan.Resting+i)
 		if c.connect() {
 			r.batch = append(r.batch, c)
 		}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -52,7 +52,7 @@
 
 func newClient(run *run, number int) *client {
 	pause := maxPause
-	if number >= run.plan.Clients {
+	if number-run.firstClient >= run.plan.Clients {
 		pause = maxRest
 	}
 	return &client{run: run, number: number, pause: pause, rng: rand.New(rand.NewPCG(run.plan.Seed, uint64(number)+100))}
--- a/internal/soak/events.go
+++ b/internal/soak/events.go
@@ -57,6 +57,18 @@
 			r.record.update(func() { r.silentSince = now })
 		})
 	}
+	r.addScenarioEvents(add)
+	for _, at := range r.plan.Stalled {
+		add(at, r.startStalledClient)
+	}
+	add(r.plan.CounterSilentAt, func() { r.counter.silent.Store(true) })
+	events = slices.DeleteFunc(events, func(e event) bool { return e.at >= r.plan.KillAt() })
+	slices.SortStableFunc(events, func(a, b event) int { return int(a.at - b.at) })
+	return events
+}
+
+// addScenarioEvents adds the events that only scenarios have.
+func (r *run) addScenarioEvents(add func(at time.Duration, play func())) {
 	if older := r.plan.OlderList; older.At > 0 {
 		add(older.At, r.discovery.fallBehind)
 		add(older.At+older.CatchUp, r.discovery.catchUpAll)
@@ -68,13 +80,6 @@
 		add(r.plan.Batch.At-batchOpensAgo, r.openBatch)
 		add(r.plan.Batch.At, r.sendBatch)
 	}
-	for _, at := range r.plan.Stalled {
-		add(at, r.startStalledClient)
-	}
-	add(r.plan.CounterSilentAt, func() { r.counter.silent.Store(true) })
-	events = slices.DeleteFunc(events, func(e event) bool { return e.at >= r.plan.KillAt() })
-	slices.SortStableFunc(events, func(a, b event) int { return int(a.at - b.at) })
-	return events
 }
 
 // notifiedAtLatest is when a change of this moment counts as told, whether or not it arrived.
--- a/internal/soak/facts.go
+++ b/internal/soak/facts.go
@@ -80,6 +80,13 @@
 	r.order = append(r.order, req)
 }
 
+// has reports whether a client sent a request.
+func (r *record) has(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.requests[id] != nil
+}
+
 // received notes what a backend received.
 func (r *record) received(id string, receipt receipt) {
 	r.mu.Lock()
--- a/internal/soak/peers.go
+++ b/internal/soak/peers.go
@@ -48,7 +48,7 @@
 // backend is a stand-in of a backend. It acts on a request once that is whole.
 type backend struct {
 	number   int
-	record   *record
+	record   receiptLog
 	listener net.Listener
 	ended    chan struct{} // closed at the end of the run: what hangs ends
 
@@ -56,7 +56,7 @@
 	fault FaultKind // "": none
 }
 
-func startBackend(number int, record *record, ended chan struct{}) (*backend, error) {
+func startBackend(number int, record receiptLog, ended chan struct{}) (*backend, error) {
 	b := &backend{number: number, record: record, ended: ended}
 	var err error
 	b.listener, err = listen(b.serve)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -47,6 +47,7 @@
 	OlderList   OlderList
 	HangingDial HangingDial
 	Batch       Batch
+	Fleet       Fleet
 }
 
 // Signal is sent to the instance at a time.
@@ -207,7 +208,7 @@
 	if p.Watch != NoWatchFault {
 		fmt.Fprintf(&b, "; the watch %s at %v", p.Watch, p.WatchFaultAt)
 	}
-	for _, part := range []fmt.Stringer{p.Framing, p.StaleStart, p.OlderList, p.HangingDial, p.Batch} {
+	for _, part := range []fmt.Stringer{p.Framing, p.StaleStart, p.OlderList, p.HangingDial, p.Batch, p.Fleet} {
 		if text := part.String(); text != "" {
 			b.WriteString("; " + text)
 		}
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -21,6 +21,7 @@
 	OldFullList   Scenario = "older-list"
 	DialHangs     Scenario = "hanging-dial"
 	RequestBatch  Scenario = "batch"
+	DrainWaves    Scenario = "waves"
 )
 
 // scenarioDraws add each scenario's trouble to a plan that exposeShutdown has changed.
@@ -30,6 +31,7 @@
 	OldFullList:   (*Plan).drawOlderList,
 	DialHangs:     (*Plan).drawHangingDial,
 	RequestBatch:  (*Plan).drawBatch,
+	DrainWaves:    (*Plan).drawWaves,
 }
 
 // Scenarios are all scenarios, by name.
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -12,6 +12,7 @@
 const (
 	scenarioSeeds = 2  // of each scenario in the short soak
 	plantedSeeds  = 10 // within which a scenario must find a planted fault
+	searches      = 3  // for planted faults, side by side
 )
 
 // requireScenarioKeepsRules plays the first seeds of a scenario whose plan is wanted and fails for a broken rule.
@@ -112,12 +113,23 @@
 		Old:  "\t\tnow := s.now() // one time for the whole batch, and for the timers after it\n",
 		New:  "\t\tnow := s.now()\n\t\tif len(batch) > 8 {\n\t\t\ttime.Sleep(400 * time.Millisecond)\n\t\t}\n",
 	}}}},
+	{soak.DrainWaves, anyPlan, mutation.Mutation{Name: "watch-ends-after-sigterm", Edits: []mutation.Edit{{
+		File: "internal/server/server.go",
+		Old:  "\ts.goroutines.Go(func() { watchEndpoints(s.connectionsCtx) })\n",
+		New: "\twatchCtx, endWatch := context.WithCancel(s.connectionsCtx)\n" +
+			"\tcontext.AfterFunc(ctx, func() { time.AfterFunc(200*time.Millisecond, endWatch) })\n" +
+			"\ts.goroutines.Go(func() { watchEndpoints(watchCtx) })\n",
+	}}}},
 }
 
 // A scenario that finds nothing says nothing unless it finds what is broken.
 func TestScenariosFindPlantedFaults(t *testing.T) {
+	slots := make(chan struct{}, searches)
 	for _, planted := range scenarioFaults {
 		t.Run(planted.mutation.Name, func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
 			exe := buildMutant(t, planted.mutation)
 			options := soak.Options{Command: func(string) (string, []string) { return exe, nil }, Scenario: planted.scenario}
 			found := false
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -60,7 +60,7 @@
 	discovery       *discovery
 	counter         *counter
 	backends        []*backend
-	backendsEnded   chan struct{}
+	firstClient     int // number of its first client
 	process         *instanceProcess
 	ended           atomic.Bool // no request is sent any more
 	paused          atomic.Bool // clients send nothing for now
@@ -82,41 +82,58 @@
 	if err != nil {
 		return Report{}, err
 	}
-	r := &run{plan: plan, record: newRecord(), options: options, dir: options.LogDir, backendsEnded: make(chan struct{})}
-	if r.dir == "" {
-		dir, err := os.MkdirTemp("", "sandyard-soak-")
-		if err != nil {
+	dir := options.LogDir
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "sandyard-soak-"); err != nil {
 			return Report{}, err
 		}
 		defer os.RemoveAll(dir)
-		r.dir = dir
 	}
-	r.dir = filepath.Join(r.dir, fmt.Sprint(seed))
-	if err := os.MkdirAll(r.dir, 0o700); err != nil {
+	dir = filepath.Join(dir, fmt.Sprint(seed))
+	play := runSingle
+	if plan.Fleet.Instances > 0 {
+		play = runFleet
+	}
+	report, err := play(ctx, plan, options, dir)
+	if err != nil {
+		return Report{}, fmt.Errorf("seed %d: %w", seed, err)
+	}
+	return report, nil
+}
+
+// runSingle plays a plan of one instance.
+func runSingle(ctx context.Context, plan *Plan, options Options, dir string) (Report, error) {
+	r := newRun(plan, options, dir)
+	backends, err := startBackends(r.record)
+	if err != nil {
 		return Report{}, err
 	}
+	defer backends.close()
 	defer r.close()
-	if err := r.start(); err != nil {
-		return Report{}, fmt.Errorf("seed %d: %w", seed, err)
+	if err := r.start(backends); err != nil {
+		return Report{}, err
 	}
 	if err := r.play(ctx); err != nil {
-		return Report{}, fmt.Errorf("seed %d: %w", seed, err)
+		return Report{}, err
 	}
 	return r.report(), nil
 }
 
-// start starts the stand-ins and the instance, and waits until that is ready.
-func (r *run) start() error {
+func newRun(plan *Plan, options Options, dir string) *run {
+	return &run{plan: plan, record: newRecord(), options: options, dir: dir}
+}
+
+// start starts the stand-ins that are the instance's own, and the instance, and waits until that is ready.
+func (r *run) start(backends *backendGroup) error {
+	err := os.MkdirAll(r.dir, 0o700)
+	if err != nil {
+		return err
+	}
+	r.backends = backends.members
 	var hosts []endpointEntry
-	for i := range backendCount {
-		backend, err := startBackend(i, r.record, r.backendsEnded)
-		if err != nil {
-			return err
-		}
-		r.backends = append(r.backends, backend)
+	for i, backend := range r.backends {
 		hosts = append(hosts, endpointEntry{Host: fmt.Sprintf("backend-%d", i), Dial: backend.listener.Addr().String(), Health: "active", Share: 1})
 	}
-	var err error
 	if r.discovery, err = startDiscovery(r.plan, r.record, hosts); err != nil {
 		return err
 	}
@@ -133,10 +150,6 @@
 	if r.process != nil {
 		r.process.kill()
 	}
-	close(r.backendsEnded)
-	for _, backend := range r.backends {
-		backend.listener.Close()
-	}
 	if r.discovery != nil {
 		r.discovery.close()
 	}
@@ -170,7 +183,7 @@
 	crowd := r.startCrowd()
 	defer crowd()
 	for number := range r.plan.Clients + r.plan.Resting {
-		r.clients.Go(newClient(r, number).play)
+		r.clients.Go(newClient(r, r.firstClient+number).play)
 	}
 	if r.plan.ChecksIdle {
 		r.checkIdle(pid)
