--- a/internal/server/drain_late_test.go
+++ b/internal/server/drain_late_test.go
@@ -94,11 +94,6 @@
 	return conn
 }
 
-// waitPastGrace waits until an attempt at backend a is too late.
-func (rig *drainRig) waitPastGrace() {
-	time.Sleep(time.Until(rig.noticedAt.Add(testDrainGrace + 2*socketSlack)))
-}
-
 // holdWatch holds the watch of discovery up, by the log record of a message that it has handed over.
 func (rig *drainRig) holdWatch() (release func()) {
 	held, release := rig.log.holdAt("list of boxes")
--- a/internal/server/drain_start_test.go
+++ b/internal/server/drain_start_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -57,13 +56,3 @@
 		})
 	}
 }
-
-// isReadyWithin reports whether the instance gets ready within a time.
-func (rig *drainRig) isReadyWithin(d time.Duration) bool {
-	for limit := time.Now().Add(d); time.Now().Before(limit); runtime.Gosched() {
-		if rig.status(readyRequest) == 200 {
-			return true
-		}
-	}
-	return false
-}
