Tests of two guards of the drain grace that no test saw fail

Need: with the taking of endpoint messages before each other message moved to the end of a batch, and with a grace that counts from the reading of a notice in place of its arrival, all tests of late instances and of new processes still passed. Change: TestLateNoticeKeepsDrainGrace has a notice come while one message of a batch is handled and a dial's end lies behind it in the same batch, and one that is read late, with a dial that ends after that.

--- /dev/null
+++ b/internal/server/drain_guard_test.go
@@ -0,0 +1,63 @@
+package server
+
+import (
+	"strings"
+	"testing"
+)
+
+// lateNotices are further ways in which an instance is late, each the only one of the tests that sees its guard fail.
+func lateNotices() []lateInstance {
+	return []lateInstance{
+		{"the notice comes while a message is handled, with the end of a dial behind it in the batch", func(rig *drainRig) <-chan int {
+			status, releaseFirst := rig.dialWhileHeld()
+			connected := takeQueued[backendConnected](rig.gateway)
+			held, release := rig.holdQueued()
+			rig.server.post(connected)
+			releaseFirst()
+			<-held
+			rig.notify()
+			waitQueued[endpointsConfirmed](rig.gateway)
+			rig.waitPastGrace()
+			release()
+			return status
+		}},
+		{"the notice is read late, and a dial ends half a grace after it came", func(rig *drainRig) <-chan int {
+			status, releaseLoop := rig.dialWhileHeld()
+			connected := takeQueued[backendConnected](rig.gateway)
+			releaseLoop()
+			releaseWatch := rig.holdWatch()
+			rig.notify()
+			rig.waitPastGrace()
+			releaseWatch()
+			rig.waitForLog("endpoints departed")
+			rig.waitForLoop()
+			rig.server.post(connected)
+			return status
+		}},
+	}
+}
+
+// TestLateNoticeKeepsDrainGrace: a notice was handled only at the end of a batch, or its grace counted from when it was read,
+// and an attempt at the draining backend began after the grace.
+func TestLateNoticeKeepsDrainGrace(t *testing.T) {
+	for _, late := range lateNotices() {
+		for _, shutdown := range []bool{false, true} {
+			name := late.name
+			if shutdown {
+				name += ", in a shutdown"
+			}
+			t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
+				t.Parallel()
+				rig := startDrainRig(t)
+				if shutdown {
+					rig.shutDown()
+				}
+				status := <-late.run(rig)
+				rig.requireDrainKept()
+				if status != 200 && status != 503 {
+					t.Errorf("the request's answer: %d", status)
+				}
+			})
+		}
+	}
+}
