--- a/internal/server/drain_list_test.go
+++ b/internal/server/drain_list_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"runtime"
 	"testing"
 	"time"
 )
@@ -193,7 +192,7 @@
 
 // isReadyWithin reports whether the instance gets ready within a time.
 func (rig *drainRig) isReadyWithin(d time.Duration) bool {
-	for limit := time.Now().Add(d); time.Now().Before(limit); runtime.Gosched() {
+	for limit := time.Now().Add(d); time.Now().Before(limit); time.Sleep(time.Millisecond) {
 		if rig.status(readyRequest) == 200 {
 			return true
 		}
--- a/internal/server/drain_order_test.go
+++ b/internal/server/drain_order_test.go
@@ -174,7 +174,7 @@
 // takeQueued waits until a message of a type is queued, and takes it out of the queue.
 func takeQueued[M message](r *gateway) M {
 	r.Helper()
-	for limit := time.Now().Add(orderTimeout); time.Now().Before(limit); runtime.Gosched() {
+	for limit := time.Now().Add(orderTimeout); time.Now().Before(limit); time.Sleep(time.Millisecond) {
 		if m, ok := findQueued[M](r, true); ok {
 			return m
 		}
@@ -187,7 +187,7 @@
 // waitQueued waits until a message of a type is queued.
 func waitQueued[M message](r *gateway) M {
 	r.Helper()
-	for limit := time.Now().Add(orderTimeout); time.Now().Before(limit); runtime.Gosched() {
+	for limit := time.Now().Add(orderTimeout); time.Now().Before(limit); time.Sleep(time.Millisecond) {
 		if m, ok := findQueued[M](r, false); ok {
 			return m
 		}
--- a/internal/server/inputage.go
+++ b/internal/server/inputage.go
@@ -30,3 +30,18 @@
 	})
 	return found
 }
+
+// hasUnreadBytes reports whether bytes are there to be read on a connection; nil: there is none. It does not wait. An end or an
+// error alone, which hasInput counts as well, is not.
+func hasUnreadBytes(s *socket) bool {
+	if s == nil {
+		return false
+	}
+	found := false
+	s.raw.Control(func(fd uintptr) { // an error: the watch has ended
+		var b [1]byte
+		n, _, _ := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		found = n > 0
+	})
+	return found
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 //	trace recorder                startWriting           step 8
 //	socket, flushing              a write                all bytes written, or the socket's end
 //	canceller of a watch          endpoint watch         the end of its watch, or another address of discovery
+//	end of the wait for a list    endpoint watch         discovery's silence, or the end of the watch
 //	reload at SIGHUP              command "node"         the end of Serve, or of the reload that is under way then
 //
 // The event loop alone owns proxy.Instance; all others hand it messages (message.go). The state machine of a connection
--- a/internal/server/unread_test.go
+++ b/internal/server/unread_test.go
@@ -96,10 +96,10 @@
 	discovery.SetLinger(0)
 	discovery.Close()
 	waitClosedByPeer(t, socket)
-	if !hasUnread(socket) {
+	if !hasUnreadBytes(socket) {
 		t.Error("nothing lies unread")
 	}
-	var input watchInput
+	input := watchInput{now: func() time.Duration { return time.Hour }}
 	if b, err := input.read(socket); string(b) != notice || err != nil {
 		t.Errorf("%q, %v, want %q", b, err, notice)
 	}
--- a/internal/server/watchinput.go
+++ b/internal/server/watchinput.go
@@ -2,14 +2,13 @@
 
 import (
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
 // The event loop's looks at the watch.
 const (
-	// lookInterval is how old a look may be that has found nothing: looks cost a system call.
-	lookInterval = time.Millisecond
+	// checkInterval is how old a look may be that has found nothing: looks cost a system call.
+	checkInterval = time.Millisecond
 	// maxCatchUpTime is how long the event loop lets the watch read and hand over what has come, before it goes on without.
 	maxCatchUpTime = 5 * time.Millisecond
 	// catchUpPoll is how often it looks meanwhile.
@@ -47,7 +46,7 @@
 // read waits for bytes, until the read deadline at most. Where that passes, bytes that came before are read all the same: a
 // process that was held up may find both.
 func (in *watchInput) read(socket *socket) ([]byte, error) {
-	if !hasUnread(socket) {
+	if !hasUnreadBytes(socket) {
 		in.wait()
 	}
 	read, err := socket.read()
@@ -62,28 +61,14 @@
 
 // isSilent reports whether discovery has nothing to say: its watch waits, and nothing lies unread.
 func (in *watchInput) isSilent() bool {
-	return in.behindSince.Load() == 0 && !hasUnread(in.socket.Load())
-}
-
-// hasUnread reports whether bytes lie unread on a connection; nil: there is none. It does not wait.
-func hasUnread(socket *socket) bool {
-	if socket == nil {
-		return false
-	}
-	found := false
-	socket.raw.Control(func(fd uintptr) { // an error: the watch has ended
-		var b [1]byte
-		n, _, _ := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		found = n > 0
-	})
-	return found
+	return in.behindSince.Load() == 0 && !hasUnreadBytes(in.socket.Load())
 }
 
 // unhandledFor returns for how long something of discovery has waited to be read or handed over; 0: nothing does. Where more
 // came behind it, the kernel does not tell when the first of it came: it counts from when it was first found, or read. Only
 // the event loop calls it.
 func (in *watchInput) unhandledFor(now time.Duration) time.Duration {
-	if in.unhandledSince == 0 && now < in.lookedAt+lookInterval {
+	if in.unhandledSince == 0 && now < in.lookedAt+checkInterval {
 		return 0
 	}
 	waits, socket := in.waits.Load(), in.socket.Load()
@@ -92,7 +77,7 @@
 	}
 	since := time.Duration(in.behindSince.Load())
 	if since == 0 {
-		if !hasUnread(socket) {
+		if !hasUnreadBytes(socket) {
 			in.unhandledSince, in.lookedAt = 0, now
 			return 0
 		}
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -93,7 +93,7 @@
 		Old:  "\tendpoints := update.Endpoints\n",
 		New:  "\tendpoints := update.Endpoints\n\ttime.Sleep(time.Duration(len(endpoints)) * time.Millisecond)\n",
 	}, {
-		File: "internal/server/watchinput.go",
+		File: "internal/server/inputage.go",
 		Old:  "\t\tfound = n > 0\n",
 		New:  "\t\tfound = n < 0\n",
 	}}}},
