The event loop looks at the watch every 10 ms at the most, not every millisecond

Change: a look that has found nothing holds for 10 ms; after a stall the first message still brings a new one.

--- a/internal/server/watchinput.go
+++ b/internal/server/watchinput.go
@@ -7,8 +7,8 @@
 
 // The event loop's looks at the watch.
 const (
-	// checkInterval is how old a look may be that has found nothing: looks cost a system call.
-	checkInterval = time.Millisecond
+	// checkInterval is how old a look may be that has found nothing: short beside a drain grace, since looks cost a system call.
+	checkInterval = 10 * time.Millisecond
 	// maxCatchUpTime is how long the event loop lets the watch read and hand over what has come, before it goes on without.
 	maxCatchUpTime = 5 * time.Millisecond
 	// catchUpPoll is how often it looks meanwhile.
