One runner for the cases of late instances and unseen notices, in place of three

Need: three tests of the drain grace had the same twelve lines each, with and without a shutdown. Change: requireDrainKept runs a case; checks, cases, their names and their number are as they were.

--- a/internal/server/drain_guard_test.go
+++ b/internal/server/drain_guard_test.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"strings"
 	"testing"
 )
 
@@ -42,22 +41,7 @@
 func TestLateNoticeKeepsDrainGrace(t *testing.T) {
 	for _, late := range lateNotices() {
 		for _, shutdown := range []bool{false, true} {
-			name := late.name
-			if shutdown {
-				name += ", in a shutdown"
-			}
-			t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
-				t.Parallel()
-				rig := startDrainRig(t)
-				if shutdown {
-					rig.shutDown()
-				}
-				status := <-late.run(rig)
-				rig.requireDrainKept()
-				if status != 200 && status != 503 {
-					t.Errorf("the request's answer: %d", status)
-				}
-			})
+			requireDrainKept(t, late.name, shutdown, late.run)
 		}
 	}
 }
--- a/internal/server/drain_late_test.go
+++ b/internal/server/drain_late_test.go
@@ -109,22 +109,28 @@
 func TestLateInstanceSendsNothingToDrainingBackend(t *testing.T) {
 	for _, late := range lateInstances() {
 		for _, shutdown := range []bool{false, true} {
-			name := late.name
-			if shutdown {
-				name += ", in a shutdown"
-			}
-			t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
-				t.Parallel()
-				rig := startDrainRig(t)
-				if shutdown {
-					rig.shutDown()
-				}
-				status := <-late.run(rig)
-				rig.requireDrainKept()
-				if status != 200 && status != 503 {
-					t.Errorf("the request's answer: %d", status)
-				}
-			})
+			requireDrainKept(t, late.name, shutdown, late.run)
 		}
 	}
 }
+
+// requireDrainKept runs a case against an instance of its own, which shuts down before it if that is wanted. No request may go to
+// the backend past its grace, and the case's request gets an answer.
+func requireDrainKept(t *testing.T, name string, shutdown bool, run func(rig *drainRig) (answered <-chan int)) {
+	t.Helper()
+	if shutdown {
+		name += ", in a shutdown"
+	}
+	t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
+		t.Parallel()
+		rig := startDrainRig(t)
+		if shutdown {
+			rig.shutDown()
+		}
+		status := <-run(rig)
+		rig.requireDrainKept()
+		if status != 200 && status != 503 {
+			t.Errorf("the request's answer: %d", status)
+		}
+	})
+}
--- a/internal/server/drain_unseen_test.go
+++ b/internal/server/drain_unseen_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -126,22 +125,7 @@
 			if unseen.shutdown && !shutdown {
 				continue
 			}
-			name := unseen.name
-			if shutdown {
-				name += ", in a shutdown"
-			}
-			t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
-				t.Parallel()
-				rig := startDrainRig(t)
-				if shutdown {
-					rig.shutDown()
-				}
-				status := <-unseen.run(rig)
-				rig.requireDrainKept()
-				if status != 200 && status != 503 {
-					t.Errorf("the request's answer: %d", status)
-				}
-			})
+			requireDrainKept(t, unseen.name, shutdown, unseen.run)
 		}
 	}
 }
