A client of the drill tells the time that is left when it writes its request

Seen: requests of the short drill without an answer in their time. Cause: the field X-Patience is how many milliseconds a client still waits (config/settings.go). The drill's client rendered its whole timeout into it before it had a connection, and gave up earlier than it had said; the instance answered in the time it was told. Change: the request is rendered when it is written, with what is left by then.

--- a/internal/drill/client.go
+++ b/internal/drill/client.go
@@ -81,8 +81,9 @@
 	localAddr                              string // of the connection, by which the instance's log names it
 }
 
-// call sends one request and returns how it ended, with the number of complete responses.
-func (c *client) call(request []byte, method string, deadline time.Time, times *callTimes) (e invariant.Ending, responses int) {
+// call sends one request and returns how it ended, with the number of complete responses. render is given the time that is left
+// when the request is written.
+func (c *client) call(render func(timeLeft time.Duration) []byte, method string, deadline time.Time, times *callTimes) (e invariant.Ending, responses int) {
 	times.started = time.Now()
 	conn, err := c.get(deadline)
 	if err != nil {
@@ -90,7 +91,7 @@
 	}
 	times.connected, times.localAddr = time.Now(), conn.LocalAddr().String()
 	conn.SetDeadline(deadline)
-	if _, err := conn.Write(request); err != nil {
+	if _, err := conn.Write(render(time.Until(deadline))); err != nil {
 		conn.Close()
 		return endingOf(err), 0
 	}
--- a/internal/drill/traffic.go
+++ b/internal/drill/traffic.go
@@ -97,7 +97,8 @@
 	d.auditor.RequestSent(*r)
 	d.mu.Unlock()
 	var times callTimes
-	ending, responses := client.call([]byte(requestText(r, class, attempt)), class.method, d.origin.Add(r.SentAt+r.Timeout), &times)
+	render := func(timeLeft time.Duration) []byte { return []byte(requestText(r, class, attempt, timeLeft)) }
+	ending, responses := client.call(render, class.method, d.origin.Add(r.SentAt+r.Timeout), &times)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if ending == invariant.ClientTimedOut || ending == invariant.ConnectionBroken {
@@ -107,10 +108,11 @@
 	return ending
 }
 
-// requestText renders a request. One that is not idempotent has no key: a backend would discard its repeats.
-func requestText(r *invariant.Request, class classSpec, attempt int) string {
+// requestText renders a request of a client that waits for timeLeft from now on. One that is not idempotent has no key: a backend
+// would discard its repeats.
+func requestText(r *invariant.Request, class classSpec, attempt int, timeLeft time.Duration) string {
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: door\r\nX-Api-Key: key-%s\r\nX-Request-Id: %s\r\nX-Work: %.3f\r\nX-Patience: %d\r\nX-Retry: %d\r\n",
-		class.method, class.path, r.Customer, r.ID, r.Work.Seconds()*1000, r.Timeout.Milliseconds(), attempt)
+		class.method, class.path, r.Customer, r.ID, r.Work.Seconds()*1000, max(0, timeLeft.Milliseconds()), attempt)
 	if class.idempotency != invariant.NotIdempotent {
 		text += "Idempotency-Key: " + r.Operation + "\r\n"
 	}
