The drill does not count a request as accepted of which no byte was written

Seen: requests of the short drill that count as lost although the instance never had them: the drill's client came to write them after their time was over. Cause: the rule is about each request that an instance accepted. A dial that the time ran out for was "not accepted"; a write on a connection that was there already, which failed by its deadline with no byte written, was "timed out". Change: both are "not accepted", and counted among the report's exemptions. A request of which a byte was written is judged as before. Evidence: TestUnwrittenRequestIsNotAccepted: before, two requests count as lost, the one not written among them; now one, which was written and got no answer.

--- a/internal/drill/client.go
+++ b/internal/drill/client.go
@@ -91,8 +91,11 @@
 	}
 	times.connected, times.localAddr = time.Now(), conn.LocalAddr().String()
 	conn.SetDeadline(deadline)
-	if _, err := conn.Write(render(time.Until(deadline))); err != nil {
+	if written, err := conn.Write(render(time.Until(deadline))); err != nil {
 		conn.Close()
+		if isTimeout(err) && written == 0 { // the instance was handed nothing
+			return invariant.NotAccepted, 0
+		}
 		return endingOf(err), 0
 	}
 	times.written = time.Now()
@@ -166,13 +169,17 @@
 
 // endingOf returns how a request ended whose connection failed.
 func endingOf(err error) invariant.Ending {
-	var ne net.Error
-	if errors.As(err, &ne) && ne.Timeout() {
+	if isTimeout(err) {
 		return invariant.ClientTimedOut
 	}
 	return invariant.ConnectionBroken
 }
 
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // endingOfResponse returns how a request ended with a response.
 func endingOfResponse(h *http1.Head, body []byte) invariant.Ending {
 	switch {
--- a/internal/drill/client_test.go
+++ b/internal/drill/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,7 +16,8 @@
 // heldClient is a drill with one instance, whose client can be held up.
 type heldClient struct {
 	*Drill
-	told chan time.Duration // what each request told of its client's patience
+	told   chan time.Duration // what each request told of its client's patience
+	silent atomic.Bool        // the instance answers no more
 }
 
 func startHeldClient(t *testing.T) *heldClient {
@@ -33,6 +35,9 @@
 		}
 		held.told <- time.Duration(patience) * time.Millisecond
 		io.Copy(io.Discard, request.Body)
+		if held.silent.Load() {
+			<-request.Context().Done()
+		}
 	}))
 	held.Drill = &Drill{options: Options{Instances: 1}, origin: time.Now(), auditor: invariant.New(limits(defaultSlack)),
 		clients: []*client{{address: listener.Addr().String()}}}
@@ -61,3 +66,24 @@
 		t.Errorf("the client had %v left, and told %v", timeout-holdUp, told)
 	}
 }
+
+// TestUnwrittenRequestIsNotAccepted: a request whose client was held up for all of its time, and had not written a byte of it,
+// counted as one that the instance had accepted and left without an answer. One that was written and gets none still does.
+func TestUnwrittenRequestIsNotAccepted(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	held := startHeldClient(t)
+	if ending := held.send("a", time.Minute, 0); ending != invariant.Served { // leaves a connection to be used again
+		t.Fatalf("the request before ended as %v", ending)
+	}
+	if ending := held.send("b", timeout, timeout+50*time.Millisecond); ending != invariant.NotAccepted {
+		t.Errorf("the request that was not written ended as %v", ending)
+	}
+	held.silent.Store(true)
+	if ending := held.send("c", timeout, 0); ending != invariant.ClientTimedOut {
+		t.Errorf("the request that got no answer ended as %v", ending)
+	}
+	verdict := held.auditor.Verdict()
+	if lost := verdict.Rules[0].Count; lost != 1 {
+		t.Errorf("%d requests count as lost, want 1: %+v", lost, verdict.Rules[0])
+	}
+}
