An instance whose timers were late answers earlier by as much

Callers saw: from an instance that its machine seldom ran, answers 20 to 500 ms after the time at which they gave up. Cause: own answers were due 20 ms before the client's time whatever the lateness of the event loop; the records beside lost requests show timers late by 20 to 135 ms all the time and by 359 to 497 ms now and then. Change: a request's answer is due earlier by the greatest lateness of a timer within the last 5 to 10 s, by a quarter of the client's time at most. An instance that is not late answers as before. Evidence: TestLateInstanceAnswersEarlier holds the event loop up before the request and again at its deadline: before, answered after 2.151 s of 2 s. Run: tests of server (by name: Late, Deadline), proxy, simulation pass; codecheck, layout, staticcheck clean.

--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -141,7 +141,7 @@
 func (s *Server) fireTimers() {
 	now := s.now()
 	if due := s.instance.NextTimer(); due <= now {
-		s.noteLateness(now - due)
+		s.noteLateness(now, now-due)
 		s.instance.Tick(now)
 		s.carryOutEffects(now)
 	}
@@ -217,9 +217,11 @@
 // processor takes.
 const notableLateness = 20 * time.Millisecond
 
-// noteLateness keeps the greatest lateness of the event loop: by it a late instance can be told from late clients.
-func (s *Server) noteLateness(late time.Duration) {
+// noteLateness keeps the greatest lateness of the event loop: by it a late instance can be told from late clients, and
+// answers earlier.
+func (s *Server) noteLateness(now, late time.Duration) {
 	s.maxLateness = max(s.maxLateness, late)
+	s.recentLateness.note(now, late)
 	if s.debug && late >= notableLateness {
 		s.log.Debug("event loop late", "ms", late.Milliseconds())
 	}
--- a/internal/server/lateness_test.go
+++ b/internal/server/lateness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -45,3 +46,48 @@
 	release()
 	<-answered
 }
+
+// TestLateInstanceAnswersEarlier: an instance whose event loop had been late was late again as a request's deadline passed, and
+// answered after the client had given up.
+func TestLateInstanceAnswersEarlier(t *testing.T) {
+	const (
+		lateness = 300 * time.Millisecond
+		patience = 2 * time.Second
+	)
+	backend, got := startSilentBackend(t)
+	r := startGateway(t, "", "", backend)
+	release := r.hold()
+	time.Sleep(lateness)
+	release()
+	r.waitForLoop()
+	sentAt := time.Now()
+	answered := r.sendTimed(strconv.FormatInt(patience.Milliseconds(), 10))
+	<-got
+	time.Sleep(time.Until(sentAt.Add(patience - lateness/2)))
+	r.holdUpFor(lateness) // until the client has given up
+	<-answered
+	if took := time.Since(sentAt); took > patience {
+		t.Errorf("answered after %v, the client waited for %v", took, patience)
+	}
+}
+
+// TestRecentLateness: lateness counts for one period at least, and for two at most.
+func TestRecentLateness(t *testing.T) {
+	const late = 200 * time.Millisecond
+	for _, c := range []struct {
+		notedAt, at, want time.Duration
+	}{
+		{0, 0, late},
+		{0, latenessPeriod, late},
+		{latenessPeriod - 1, 2*latenessPeriod - 1, late},
+		{latenessPeriod - 1, 2 * latenessPeriod, 0},
+		{0, 10 * latenessPeriod, 0},
+	} {
+		var recent recentLateness
+		recent.note(c.notedAt, late)
+		recent.note(c.notedAt, late/2)
+		if got := recent.at(c.at); got != c.want {
+			t.Errorf("noted at %v, at %v: %v, want %v", c.notedAt, c.at, got, c.want)
+		}
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -62,10 +62,11 @@
 	recorder         *recorder      // nil: nothing is recorded
 
 	// instance and counter belong to the event loop from the start of Serve on.
-	instance    *proxy.Instance
-	counter     *counterConn  // nil: there is no connection, not even one that is being made
-	maxLateness time.Duration // of the event loop's timers
-	endpoints   endpointRecord
+	instance       *proxy.Instance
+	counter        *counterConn  // nil: there is no connection, not even one that is being made
+	maxLateness    time.Duration // of the event loop's timers
+	recentLateness recentLateness
+	endpoints      endpointRecord
 
 	connectionsCtx    context.Context // ends at step 4 of the shutdown
 	cancelConnections context.CancelFunc
@@ -121,6 +122,7 @@
 	if s.instance, err = proxy.NewInstance(s.shared, opt.Seed, s.startedAt); err != nil {
 		return nil, err
 	}
+	s.instance.ExpectedLateness = s.recentLateness.at
 	if s.discovery != nil {
 		s.instance.EndpointsUnhandledFor = s.endpointsUnhandledFor
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -113,6 +113,7 @@
 	Status               int           // of the final answer; 0 while there is none
 
 	state            State
+	latenessMargin   time.Duration      // by which it is answered earlier, since timers may be late
 	attempts         []attempt          // by number, from 0
 	openAttempts     int                // those of attempts that have not ended
 	streamingAttempt int                // in Streaming: the number of the attempt whose response flows
--- a/proxy/requests.go
+++ b/proxy/requests.go
@@ -8,8 +8,11 @@
 	"sandyard/decision"
 )
 
+// maxLatenessMarginDivisor bounds the margin for late timers by a part of the client's timeout: the rest is the backends'.
+const maxLatenessMarginDivisor = 4
+
 // RequestArrived takes an exchange in, for which a client waits. It gets its final answer within its timeout, less
-// limits.answer-margin.
+// limits.answer-margin, and earlier where the instance has been late.
 //
 // One with the unique name of another that is open is answered 409 at once, and the decision gateway gets no event for it:
 // backends know requests by that name.
@@ -24,6 +27,7 @@
 	}
 	inst.lastRequestID++
 	ex.ID, ex.state = inst.lastRequestID, Deciding
+	ex.latenessMargin = inst.latenessMargin(ex)
 	inst.requests[ex.ID] = ex
 	inst.unanswered++
 	inst.Stats.Arrived++
@@ -49,9 +53,18 @@
 	ex.reservedBytes = 0
 }
 
-// answerDeadline is when an exchange must be answered: the margin is for the answer to reach the client.
+// answerDeadline is when an exchange must be answered: limits.answer-margin is for the answer to reach the client, the other
+// margin for timers that are late.
 func (inst *Instance) answerDeadline(ex *Exchange) time.Duration {
-	return ex.Arrived + ex.Timeout - time.Duration(inst.shared.Config.Limits.ResponseMargin)
+	return ex.Arrived + ex.Timeout - time.Duration(inst.shared.Config.Limits.ResponseMargin) - ex.latenessMargin
+}
+
+// latenessMargin is how much earlier an exchange that arrives is answered, since timers may be late.
+func (inst *Instance) latenessMargin(ex *Exchange) time.Duration {
+	if inst.ExpectedLateness == nil {
+		return 0
+	}
+	return min(inst.ExpectedLateness(inst.now), ex.Timeout/maxLatenessMarginDivisor)
 }
 
 // ClientLeft reports that an exchange's client is gone. It gets no answer; the decision gateway gets the event and may
