A client of the drill counts an answer from its arrival, not from when it is read

Cause: the drill took the time of an answer when its own goroutine had read it and got the drill's lock; and what lay unread in the socket as the client's time passed counted as no answer. Both are the drill's lateness, not the instance's. Change: the time of an answer is that at which its last bytes reached the client's machine, as the kernel tells; what had arrived by the deadline is read after it. What arrives later counts as no answer, as before. Asking the kernel stands in package tcpinfo now, for server and drill. Evidence: TestLateClientReadsWhatArrived.

--- a/internal/drill/client.go
+++ b/internal/drill/client.go
@@ -3,11 +3,14 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"sandyard/internal/http1"
+	"sandyard/internal/tcpinfo"
 	"sandyard/invariant"
 )
 
@@ -22,6 +25,7 @@
 // clientConn is a connection, used for one request at a time.
 type clientConn struct {
 	net.Conn
+	raw      syscall.RawConn
 	reader   *http1.Reader
 	lastUsed time.Time
 }
@@ -44,11 +48,37 @@
 		last.Close()
 	}
 	c.mu.Unlock()
-	nc, err := net.DialTimeout("tcp", c.address, time.Until(deadline))
+	conn, err := net.DialTimeout("tcp", c.address, time.Until(deadline))
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: nc, reader: http1.NewResponses(http1.Limits{})}, nil
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return &clientConn{Conn: conn, raw: raw, reader: http1.NewResponses(http1.Limits{})}, nil
+}
+
+// lastArrival is when the last bytes of the peer reached this machine: the client may read them much later.
+func (cn *clientConn) lastArrival() time.Time { return time.Now().Add(-tcpinfo.InputAge(cn.raw)) }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// readArrived reads what had arrived by a deadline that has passed, while the client did not run. Later bytes count as none: the
+// client had given up.
+func (cn *clientConn) readArrived(b []byte, deadline time.Time) (int, error) {
+	n := 0
+	cn.raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), b) }) // does not wait, and does not look at the read deadline
+	if n <= 0 || cn.lastArrival().After(deadline) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return n, nil
 }
 
 // put keeps a connection for further requests.
@@ -78,7 +108,8 @@
 // callTimes are the moments of a call as its client saw them; zero: it did not come to that.
 type callTimes struct {
 	started, connected, written, firstByte time.Time
-	localAddr                              string // of the connection, by which the instance's log names it
+	answered                               time.Time // when the answer's last bytes had reached the client's machine
+	localAddr                              string    // of the connection, by which the instance's log names it
 }
 
 // call sends one request and returns how it ended, with the number of complete responses. render is given the time that is left
@@ -100,23 +131,30 @@
 	}
 	times.written = time.Now()
 	conn.reader.Expect(method)
-	return c.readResponse(conn, times)
+	return c.readResponse(conn, deadline, times)
 }
 
 // readResponse reads the response to the request that was written.
-func (c *client) readResponse(conn *clientConn, times *callTimes) (e invariant.Ending, responses int) {
+func (c *client) readResponse(conn *clientConn, deadline time.Time, times *callTimes) (e invariant.Ending, responses int) {
 	var r response
 	b := make([]byte, readBuffer)
 	for {
 		n, err := conn.Read(b)
+		if isTimeout(err) {
+			n, err = conn.readArrived(b, deadline)
+		}
 		if times.firstByte.IsZero() && n > 0 {
 			times.firstByte = time.Now()
 		}
+		if n > 0 {
+			times.answered = latest(times.written, conn.lastArrival()) // the kernel's clock is a coarse one
+		}
 		if err != nil {
 			conn.Close()
 			if e := endingOf(err); e != invariant.ConnectionBroken || r.head == nil {
 				return e, 0
 			}
+			times.answered = time.Now()
 			return invariant.Failed, 1 // the client sees that its response broke off
 		}
 		complete, extra, err := r.feed(conn.reader, b[:n])
--- a/internal/drill/client_test.go
+++ b/internal/drill/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -87,3 +88,56 @@
 		t.Errorf("%d requests count as lost, want 1: %+v", lost, verdict.Rules[0])
 	}
 }
+
+// TestLateClientReadsWhatArrived: an answer that had arrived in its time, and that a client of the drill read only after it, counted
+// as late by the client's own lateness, or as none. One that arrives after the client's time still counts as none.
+func TestLateClientReadsWhatArrived(t *testing.T) {
+	const late = 50 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		deadline time.Duration // from the arrival of the answer on
+		want     invariant.Ending
+	}{
+		{"arrived in time", late / 2, invariant.Served},
+		{"arrived late", -late / 2, invariant.ClientTimedOut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			held := startHeldClient(t)
+			client := held.clients[0]
+			conn, err := client.get(time.Now().Add(time.Second))
+			if err != nil {
+				t.Fatal(err)
+			}
+			conn.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nX-Patience: 1\r\nContent-Length: 0\r\n\r\n"))
+			conn.reader.Expect("POST")
+			waitForInput(t, conn)
+			arrivedAt := conn.lastArrival()
+			time.Sleep(late)
+			conn.SetDeadline(arrivedAt)
+			var times callTimes
+			ending, _ := client.readResponse(conn, arrivedAt.Add(c.deadline), &times)
+			if ending != c.want {
+				t.Errorf("the request ended as %v, want %v", ending, c.want)
+			}
+			if off := times.answered.Sub(arrivedAt).Abs(); ending == invariant.Served && off > late/2 {
+				t.Errorf("the answer counts as of %v off its arrival", off)
+			}
+		})
+	}
+}
+
+// waitForInput waits until bytes are there to be read on a connection, and leaves them there.
+func waitForInput(t *testing.T, conn *clientConn) {
+	t.Helper()
+	for limit := time.Now().Add(10 * time.Second); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		n := 0
+		conn.raw.Control(func(fd uintptr) {
+			var b [1]byte
+			n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		})
+		if n > 0 {
+			return
+		}
+	}
+	t.Fatal("no answer comes")
+}
--- a/internal/drill/traffic.go
+++ b/internal/drill/traffic.go
@@ -104,7 +104,11 @@
 	if ending == invariant.ClientTimedOut || ending == invariant.ConnectionBroken {
 		d.unanswered = append(d.unanswered, d.unansweredRequest(r, ending, &times))
 	}
-	d.auditor.RequestEnded(invariant.Outcome{ID: r.ID, Ending: ending, At: d.now(), Responses: responses})
+	endedAt := d.now()
+	if responses > 0 {
+		endedAt = times.answered.Sub(d.origin) // not when this process came to read it
+	}
+	d.auditor.RequestEnded(invariant.Outcome{ID: r.ID, Ending: ending, At: endedAt, Responses: responses})
 	return ending
 }
 
--- a/internal/server/accept.go
+++ b/internal/server/accept.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"sandyard/internal/tcpinfo"
 )
 
 const (
@@ -100,7 +102,7 @@
 // makeRoomFor makes room for a connection beyond limits.connections, and reports whether there is any; else the connection
 // is rejected. One that was silent in the backlog for firstRequestTime is closed: it would be the first to make room.
 func (s *Server) makeRoomFor(cc *clientConn) bool {
-	age := inputAge(cc.socket.raw)
+	age := tcpinfo.InputAge(cc.socket.raw)
 	if age >= firstRequestTime && !hasInput(cc.socket.raw) {
 		s.shared.ClientConns.Add(-1)
 		cc.socket.close()
--- a/internal/server/clientconn.go
+++ b/internal/server/clientconn.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sandyard/internal/tcpinfo"
 	"sandyard/proxy"
 )
 
@@ -93,7 +94,7 @@
 	defer cc.mu.Unlock()
 	switch {
 	case err == nil:
-		cc.advance(now, cc.client.FeedReceived(now, now-inputAge(cc.socket.raw), b))
+		cc.advance(now, cc.client.FeedReceived(now, now-tcpinfo.InputAge(cc.socket.raw), b))
 	case isTimeout(err) && !cc.socket.closedOrFailed() && cc.closeRequested && !cc.closed:
 		cc.closeIfIdle(now)
 	case isTimeout(err) && !cc.socket.closedOrFailed():
@@ -125,7 +126,7 @@
 	}
 	if b := cc.socket.readAvailable(); len(b) > 0 {
 		cc.evicted = false
-		cc.advance(now, cc.client.FeedReceived(now, now-inputAge(cc.socket.raw), b))
+		cc.advance(now, cc.client.FeedReceived(now, now-tcpinfo.InputAge(cc.socket.raw), b))
 		return
 	}
 	cc.client.Drain()
--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -15,6 +15,7 @@
 	"sandyard/decision"
 	"sandyard/internal/http1"
 	"sandyard/internal/platform"
+	"sandyard/internal/tcpinfo"
 	"sandyard/proxy"
 )
 
@@ -345,7 +346,7 @@
 	return endpointsConfirmed{
 		version:   w.version,
 		readAt:    readAt,
-		arrivedAt: readAt - inputAge(socket.raw),
+		arrivedAt: readAt - tcpinfo.InputAge(socket.raw),
 		departed:  departed,
 	}
 }
--- a/internal/server/drain_order_test.go
+++ b/internal/server/drain_order_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sandyard/internal/platform"
+	"sandyard/internal/tcpinfo"
 	"sandyard/proxy"
 )
 
@@ -248,7 +249,7 @@
 	if _, err := in.Peek(1); err != nil {
 		return false
 	}
-	firstByteAt := time.Now().Add(-inputAge(raw))
+	firstByteAt := time.Now().Add(-tcpinfo.InputAge(raw))
 	request, err := http.ReadRequest(in)
 	if err != nil {
 		return false
--- a/internal/server/inputage.go
+++ b/internal/server/socketinput.go
@@ -1,24 +1,6 @@
 package server
 
-import (
-	"syscall"
-	"time"
-
-	"golang.org/x/sys/unix"
-)
-
-// inputAge is how long ago the last bytes of the peer came or, where none have, how long ago the connection was made: both
-// may be well before they are seen here, above all behind others in the listener's backlog. It is 0 where the kernel does not tell.
-func inputAge(raw syscall.RawConn) time.Duration {
-	age := time.Duration(0)
-	raw.Control(func(fd uintptr) { // an error leaves the age at 0
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil {
-			age = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-	})
-	return age
-}
+import "syscall"
 
 // hasInput reports whether something is there to be read, an end or an error included, and leaves it there.
 func hasInput(raw syscall.RawConn) bool {
--- a/internal/server/watchinput.go
+++ b/internal/server/watchinput.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"sandyard/internal/tcpinfo"
 )
 
 // The event loop's looks at the watch.
@@ -81,7 +83,7 @@
 			in.unhandledSince, in.lookedAt = 0, now
 			return 0
 		}
-		since = now - inputAge(socket.raw)
+		since = now - tcpinfo.InputAge(socket.raw)
 	}
 	if in.unhandledSince == 0 || since < in.unhandledSince {
 		in.unhandledSince = since
