--- a/internal/server/drain_file_test.go
+++ b/internal/server/drain_file_test.go
@@ -16,7 +16,7 @@
 	held, release := r.log.holdAt("list of boxes")
 	t.Cleanup(release)
 	r.replaceFile("boxes.yaml", endpointsYAML(backend.addr)+"\n")
-	<-held
+	r.waitHeld(held)
 	r.replaceFile("boxes.yaml", endpointsYAML())
 	replacedAt := time.Now()
 	time.Sleep(testDrainGrace + 2*socketSlack)
--- a/internal/server/drain_late_test.go
+++ b/internal/server/drain_late_test.go
@@ -99,7 +99,7 @@
 	held, release := rig.log.holdAt("list of boxes")
 	rig.Cleanup(release)
 	writeChunk(rig.watch, `{"seq":7,"whole":false,"hosts":[]}`+"\n")
-	<-held
+	rig.waitHeld(held)
 	return release
 }
 
--- a/internal/server/drain_order_test.go
+++ b/internal/server/drain_order_test.go
@@ -165,6 +165,16 @@
 	return holding, release
 }
 
+// waitHeld waits until what is to be held up is.
+func (r *gateway) waitHeld(held <-chan struct{}) {
+	r.Helper()
+	select {
+	case <-held:
+	case <-time.After(orderTimeout):
+		r.Fatalf("nothing is held up within %v", orderTimeout)
+	}
+}
+
 // hold holds the event loop up until release is called.
 func (r *gateway) hold() (release func()) {
 	held, release := r.holdQueued()
--- a/internal/server/drain_unseen_test.go
+++ b/internal/server/drain_unseen_test.go
@@ -26,7 +26,7 @@
 			rig.Cleanup(release)
 			writeChunk(rig.watch, `{"seq":7,"whole":false,"hosts":[]}`+"\n"+drainsAForB(rig.draining.addr, rig.other))
 			rig.noticedAt = time.Now()
-			<-held
+			rig.waitHeld(held)
 			rig.waitPastGrace()
 			return rig.sendAndRelease(release)
 		}},
@@ -66,7 +66,7 @@
 			held, release := rig.log.holdAt("attempt during shutdown")
 			rig.Cleanup(release)
 			status := rig.send(2)
-			<-held
+			rig.waitHeld(held)
 			rig.notify()
 			rig.waitPastGrace()
 			release()
