Answers of the drill count from their arrival also where the client's write was held up

Seen, by reading: an answer's arrival was taken as no earlier than the end of the client's write, which a client that is held up right after the write notes late: its own lateness again. Cause: a floor is needed, since the kernel's age of input is in whole milliseconds and a quick answer would come before its request. Change: the floor is the moment before the write, when the client had its connection.

--- a/internal/drill/client.go
+++ b/internal/drill/client.go
@@ -147,7 +147,7 @@
 			times.firstByte = time.Now()
 		}
 		if n > 0 {
-			times.answered = latest(times.written, conn.lastArrival()) // the kernel's clock is a coarse one
+			times.answered = latest(times.connected, conn.lastArrival()) // the kernel's clock is a coarse one
 		}
 		if err != nil {
 			conn.Close()
