The soak tells the last record of an instance that ended before it was ready

Cause: not shown. Suspected: the address that was free a moment ago was taken; forced by hand, a node whose address another connection has ends with status 1 at once. Change: the error has the log's last record, so that the next time names its cause. Measured: TestFailedStartTellsLastRecord fails before (the error ends with the log's path) and passes.

--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -90,7 +90,7 @@
 		select {
 		case <-p.exited:
 			<-p.done
-			return fmt.Errorf("the instance ended before it was ready: %v; see %s", p.err, p.logFile)
+			return fmt.Errorf("the instance ended before it was ready: %w; its last record: %s", p.err, p.lastRecord())
 		default:
 		}
 		response, err := client.Get("http://" + r.instanceAddress + "/ready")
@@ -110,6 +110,16 @@
 	<-p.done
 }
 
+// lastRecord is the last line of the log: a run's folder is removed with its end.
+func (p *instanceProcess) lastRecord() string {
+	text, err := os.ReadFile(p.logFile)
+	if err != nil {
+		return err.Error()
+	}
+	records := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return records[len(records)-1]
+}
+
 // crash is the first line of a panic or of another fatal error in the log; "" if there is none.
 func (p *instanceProcess) crash() string {
 	text, _ := os.ReadFile(p.logFile)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// TestFailedStartTellsLastRecord: an instance that ended before it was ready left "exit status 1" and a log that was removed.
+func TestFailedStartTellsLastRecord(t *testing.T) {
+	const record = "address already in use"
+	failing := func(string) (string, []string) {
+		return "/bin/sh", []string{"-c", "echo first >&2; echo " + record + " >&2; exit 1"}
+	}
+	_, err := soak.Run(context.Background(), 1, soak.Options{Command: failing})
+	if err == nil || !strings.HasSuffix(err.Error(), "exit status 1; its last record: "+record) {
+		t.Errorf("the error does not end with the last record: %v", err)
+	}
+}
+
 // ownProgram runs this test's binary.
 func ownProgram(t *testing.T) func(string) (string, []string) {
 	t.Helper()
