A notice that is being read is no longer missed by the event loop's look at the watch

Cause: the watch took the bytes from the connection and noted that it was behind afterwards; where its thread lost its processor in between, a look of the event loop found neither unread bytes nor a watch that is behind, and counted for checkInterval (10 ms). The look itself asked in the order that has the same gap. Change: the watch waits for input without taking it, notes that it is behind, and then reads; the look asks for unread bytes first and for the note after it. Test: TestNoticeBeingReadIsNotMissed, both subtests failed before.

--- a/internal/server/rig_test.go
+++ b/internal/server/rig_test.go
@@ -49,7 +49,7 @@
 // waitReadable waits until bytes, or an end, are there to be read.
 func waitReadable(t *testing.T, l *socket) {
 	t.Helper()
-	if err := l.raw.Read(fdHasInput); err != nil {
+	if err := l.waitForInput(); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -175,13 +175,6 @@
 	}
 }
 
-// fdHasInput reports whether something is there to be read, an end or an error included, and leaves it there.
-func fdHasInput(fd uintptr) bool {
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err != syscall.EAGAIN
-}
-
 // smallWindow makes a connection that takes little before it is read.
 func smallWindow(_, _ string, c syscall.RawConn) error {
 	var err error
--- a/internal/server/socket.go
+++ b/internal/server/socket.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// waitForInput waits until bytes, an end or an error are there to be read, until the read deadline at most, and leaves them there.
+func (s *socket) waitForInput() error { return s.raw.Read(fdHasInput) }
+
 // read waits for bytes, until the read deadline at most. They are good until the next call of read, readAvailable or
 // releaseBuffer. The end of the peer's sending is io.EOF; a deadline that passes is an error that isTimeout reports.
 func (s *socket) read() ([]byte, error) {
--- a/internal/server/watchinput.go
+++ b/internal/server/watchinput.go
@@ -47,23 +47,34 @@
 
 // read waits for bytes, until the read deadline at most. Where that passes, bytes that came before are read all the same: a
 // process that was held up may find both.
+//
+// The goroutine resumes before it takes the bytes, and may be held up in between: at no time are they neither unread nor noted.
 func (in *watchInput) read(socket *socket) ([]byte, error) {
 	if !hasUnreadBytes(socket) {
 		in.wait()
 	}
-	read, err := socket.read()
+	err := socket.waitForInput()
 	in.resume()
-	if isTimeout(err) {
-		if available := socket.readAvailable(); available != nil {
-			return available, nil
-		}
+	if available := socket.readAvailable(); available != nil {
+		return available, nil
+	}
+	if err != nil {
+		return nil, err
 	}
-	return read, err
+	return socket.read() // an end or an error
+}
+
+// check returns since when the goroutine of the watch has been behind, and whether bytes lie unread on its socket: 0 and false,
+// discovery has nothing to say. It looks for bytes first: what is taken from the socket after that is noted by then.
+func (in *watchInput) check(socket *socket) (behindSince time.Duration, unread bool) {
+	unread = hasUnreadBytes(socket)
+	return time.Duration(in.behindSince.Load()), unread
 }
 
 // isSilent reports whether discovery has nothing to say: its watch waits, and nothing lies unread.
 func (in *watchInput) isSilent() bool {
-	return in.behindSince.Load() == 0 && !hasUnreadBytes(in.socket.Load())
+	behindSince, unread := in.check(in.socket.Load())
+	return behindSince == 0 && !unread
 }
 
 // unhandledFor returns for how long something of discovery has waited to be read or handed over; 0: nothing does. Where more
@@ -77,12 +88,12 @@
 	if in.unhandledWaits != waits { // what was found then is handed over
 		in.unhandledSince, in.unhandledWaits = 0, waits
 	}
-	since := time.Duration(in.behindSince.Load())
+	since, unread := in.check(socket)
+	if since == 0 && !unread {
+		in.unhandledSince, in.lookedAt = 0, now
+		return 0
+	}
 	if since == 0 {
-		if !hasUnreadBytes(socket) {
-			in.unhandledSince, in.lookedAt = 0, now
-			return 0
-		}
 		since = now - tcpinfo.InputAge(socket.raw)
 	}
 	if in.unhandledSince == 0 || since < in.unhandledSince {
--- a/internal/server/watchinput_test.go
+++ b/internal/server/watchinput_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"syscall"
 	"testing"
 	"time"
 )
@@ -46,3 +47,53 @@
 		t.Errorf("unread for %v, want %v at least", unread, least)
 	}
 }
+
+// connBeforeControl is a connection of which something is done before the next use of its descriptor that does not wait.
+type connBeforeControl struct {
+	syscall.RawConn
+	before func()
+}
+
+func (c *connBeforeControl) Control(use func(fd uintptr)) error {
+	if before := c.before; before != nil {
+		c.before = nil
+		before()
+	}
+	return c.RawConn.Control(use)
+}
+
+// TestNoticeBeingReadIsNotMissed: the event loop looked at the watch when a notice had been taken from the connection and was
+// not yet noted as read, or was taken between the two questions of the look. It found nothing, and attempts began for
+// checkInterval.
+func TestNoticeBeingReadIsNotMissed(t *testing.T) {
+	const notice = "notice"
+	const clock = time.Hour
+	watch := func(t *testing.T) (*watchInput, *socket) {
+		input := &watchInput{now: func() time.Duration { return clock }}
+		socket, discovery := newSocketPair(t)
+		input.socket.Store(socket)
+		discovery.Write([]byte(notice))
+		waitReadable(t, socket)
+		return input, socket
+	}
+	requireFound := func(t *testing.T, input *watchInput) {
+		t.Helper()
+		if input.unhandledFor(clock) == 0 {
+			t.Error("a look finds nothing")
+		}
+	}
+	t.Run("while the watch notes the read", func(t *testing.T) {
+		input, socket := watch(t)
+		input.now = func() time.Duration { // asked as the read is noted
+			requireFound(t, input)
+			return clock
+		}
+		input.read(socket)
+		requireFound(t, input)
+	})
+	t.Run("while the event loop looks", func(t *testing.T) {
+		input, socket := watch(t)
+		socket.raw = &connBeforeControl{RawConn: socket.raw, before: func() { input.read(socket) }}
+		requireFound(t, input)
+	})
+}
