The age of unread notices counts from the last empty look, not from the last bytes

Callers saw: after a stall of an instance, requests at a draining backend 1.508 s after its notice (TestStalledNodeSendsNothingToDrainingBackend, "a heartbeat comes behind the notice", 8.0 ms after the process ran again, in 2 of 160 copies beside load). Cause: the kernel tells only when the last bytes came, so that a heartbeat behind an unread notice made the notice look new; once the 5 ms of the catch-up were over, attempts could begin for half of a grace more. Change: what a look finds counts from the last moment at which nothing was known to wait: the look before it, 50 ms earlier at most in an instance that runs, since housekeeping wakes the loop, or the watch's own wait, whose time is read before it looks. Tests: TestNoticeBeforeHeartbeatIsNotNew, red with the old age (1 ns, 100 ms wanted); TestUnreadBacklogIsAsOldAsItsFirstByte starts from a look now, as a server does. TestNoticeBeingReadIsNotMissed looks after each step of a read by a hook of the connection, since noting asks no clock any more; it is still red with either order turned round.

--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -83,8 +83,7 @@
 		endpoints:      map[string]config.Endpoint{},
 	}
 	w.readVersion.Store(version)
-	w.input.now = s.now
-	w.input.resume()
+	w.input.start(s.now)
 	for _, e := range s.cfg.Endpoints {
 		w.endpoints[e.Name] = e
 	}
@@ -116,7 +115,7 @@
 		if received {
 			backoff = minWatchBackoff
 		}
-		w.input.wait()
+		w.input.wait(w.server.now())
 		select {
 		case <-addressChanged:
 			backoff = minWatchBackoff
@@ -166,7 +165,7 @@
 // watchOnce runs one watch until it ends, and reports whether anything came of it.
 func (w *endpointWatch) watchOnce(ctx context.Context, address string) (received bool, err error) {
 	dialCtx, cancel := context.WithTimeout(ctx, watchDialTimeout)
-	w.input.wait()
+	w.input.wait(w.server.now())
 	socket, err := dialTCP(dialCtx, address, watchSilenceTimeout)
 	cancel()
 	if err != nil {
--- a/internal/server/watchinput.go
+++ b/internal/server/watchinput.go
@@ -3,8 +3,6 @@
 import (
 	"sync/atomic"
 	"time"
-
-	"sandyard/internal/tcpinfo"
 )
 
 // The event loop's looks at the watch.
@@ -23,35 +21,44 @@
 type watchInput struct {
 	now    func() time.Duration   // the instance's clock
 	socket atomic.Pointer[socket] // of the watch that stands; nil: none does
-	// behindSince is since when (time.Duration) the goroutine has been behind: it has read something, and has not come back
-	// to wait for more with nothing left unread. 0: it waits.
-	behindSince atomic.Int64
-	waits       atomic.Uint64 // how often it came to wait
+	// behind: the goroutine reads, or has read something, and has not come back to wait for more with nothing left unread.
+	behind   atomic.Bool
+	waits    atomic.Uint64 // how often it came to wait
+	waitedAt atomic.Int64  // by when (time.Duration) all was handed over that had come, the last time it did so
 
 	// Of the event loop, which looks for what waits.
-	unhandledSince time.Duration // since when something does; 0: the last look found nothing
+	unhandledSince time.Duration // since when something may do; 0: the last look found nothing
 	unhandledWaits uint64        // waits at that time
 	lookedAt       time.Duration // when the last look found nothing
 	waitedInVain   bool          // the watch did not catch up within maxCatchUpTime, and has not since then
 }
 
-// wait notes that the goroutine waits for discovery: for a connection, for bytes, or until it tries again. All that it has
-// read before is handed over.
-func (in *watchInput) wait() {
+// start sets the clock. The goroutine has something to do from the start.
+func (in *watchInput) start(now func() time.Duration) {
+	in.now = now
+	in.lookedAt = now()
+	in.resume()
+}
+
+// wait notes that the goroutine waits for discovery: for a connection, for bytes, or until it tries again. All that had come
+// by a moment is handed over.
+func (in *watchInput) wait(handedOverAt time.Duration) {
+	in.waitedAt.Store(int64(handedOverAt))
 	in.waits.Add(1)
-	in.behindSince.Store(0)
+	in.behind.Store(false)
 }
 
 // resume notes that it has something to do.
-func (in *watchInput) resume() { in.behindSince.CompareAndSwap(0, int64(in.now())) }
+func (in *watchInput) resume() { in.behind.Store(true) }
 
 // read waits for bytes, until the read deadline at most. Where that passes, bytes that came before are read all the same: a
 // process that was held up may find both.
 //
 // The goroutine resumes before it takes the bytes, and may be held up in between: at no time are they neither unread nor noted.
 func (in *watchInput) read(socket *socket) ([]byte, error) {
+	now := in.now() // before it looks: it may be held up behind that
 	if !hasUnreadBytes(socket) {
-		in.wait()
+		in.wait(now)
 	}
 	err := socket.waitForInput()
 	in.resume()
@@ -64,40 +71,32 @@
 	return socket.read() // an end or an error
 }
 
-// check returns since when the goroutine of the watch has been behind, and whether bytes lie unread on its socket: 0 and false,
-// discovery has nothing to say. It looks for bytes first: what is taken from the socket after that is noted by then.
-func (in *watchInput) check(socket *socket) (behindSince time.Duration, unread bool) {
-	unread = hasUnreadBytes(socket)
-	return time.Duration(in.behindSince.Load()), unread
-}
-
 // isSilent reports whether discovery has nothing to say: its watch waits, and nothing lies unread.
-func (in *watchInput) isSilent() bool {
-	behindSince, unread := in.check(in.socket.Load())
-	return behindSince == 0 && !unread
+func (in *watchInput) isSilent() bool { return !in.hasUnhandled(in.socket.Load()) }
+
+// hasUnhandled reports whether the goroutine is behind, or bytes lie unread on the socket of its watch. It looks for bytes first:
+// what is taken from the socket after that is noted by then.
+func (in *watchInput) hasUnhandled(socket *socket) bool {
+	return hasUnreadBytes(socket) || in.behind.Load()
 }
 
-// unhandledFor returns for how long something of discovery has waited to be read or handed over; 0: nothing does. Where more
-// came behind it, the kernel does not tell when the first of it came: it counts from when it was first found, or read. Only
+// unhandledFor returns for how long, at the most, something of discovery has waited to be read or handed over; 0: nothing does.
+// It counts from when nothing was known to wait: the kernel tells when the last bytes came, not when the first of them did. Only
 // the event loop calls it.
 func (in *watchInput) unhandledFor(now time.Duration) time.Duration {
 	if in.unhandledSince == 0 && now < in.lookedAt+checkInterval {
 		return 0
 	}
-	waits, socket := in.waits.Load(), in.socket.Load()
+	waits := in.waits.Load()
 	if in.unhandledWaits != waits { // what was found then is handed over
 		in.unhandledSince, in.unhandledWaits = 0, waits
 	}
-	since, unread := in.check(socket)
-	if since == 0 && !unread {
+	if !in.hasUnhandled(in.socket.Load()) {
 		in.unhandledSince, in.lookedAt = 0, now
 		return 0
 	}
-	if since == 0 {
-		since = now - tcpinfo.InputAge(socket.raw)
-	}
-	if in.unhandledSince == 0 || since < in.unhandledSince {
-		in.unhandledSince = since
+	if in.unhandledSince == 0 {
+		in.unhandledSince = max(in.lookedAt, time.Duration(in.waitedAt.Load()))
 	}
 	return max(1, now-in.unhandledSince)
 }
--- a/internal/server/watchinput_test.go
+++ b/internal/server/watchinput_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"net"
 	"syscall"
 	"testing"
 	"time"
@@ -10,7 +11,8 @@
 // had come before it: the notice was lost, and with it that it lay unread.
 func TestWatchReadsWhatCameBeforeItsDeadline(t *testing.T) {
 	const notice = "notice"
-	input := watchInput{now: func() time.Duration { return time.Hour }}
+	input := watchInput{}
+	input.start(func() time.Duration { return time.Hour })
 	socket, discovery := newSocketPair(t)
 	input.socket.Store(socket)
 	discovery.Write([]byte(notice))
@@ -31,7 +33,8 @@
 	)
 	started := time.Now()
 	now := func() time.Duration { return time.Hour + time.Since(started) }
-	input := watchInput{now: now}
+	input := watchInput{}
+	input.start(now)
 	socket, discovery := newSocketPair(t)
 	input.socket.Store(socket)
 	discovery.Write(make([]byte, parts*readSize)) // the notice is its last byte
@@ -48,52 +51,89 @@
 	}
 }
 
-// connBeforeControl is a connection of which something is done before the next use of its descriptor that does not wait.
-type connBeforeControl struct {
+// hookedConn is a connection with a hook before each use of its descriptor, and one after it.
+type hookedConn struct {
 	syscall.RawConn
-	before func()
+	before, after func()
 }
 
-func (c *connBeforeControl) Control(use func(fd uintptr)) error {
-	if before := c.before; before != nil {
-		c.before = nil
-		before()
-	}
+func (c *hookedConn) Control(use func(fd uintptr)) error {
+	c.run(c.before)
+	defer c.run(c.after)
 	return c.RawConn.Control(use)
 }
 
+func (c *hookedConn) Read(use func(fd uintptr) bool) error {
+	c.run(c.before)
+	defer c.run(c.after)
+	return c.RawConn.Read(use)
+}
+
+// run calls a hook; none is called meanwhile.
+func (c *hookedConn) run(hook func()) {
+	if hook == nil {
+		return
+	}
+	before, after := c.before, c.after
+	c.before, c.after = nil, nil
+	hook()
+	c.before, c.after = before, after
+}
+
+// startUnreadWatch is a watch on which a notice has come.
+func startUnreadWatch(t *testing.T, now func() time.Duration) (*watchInput, *socket, *net.TCPConn) {
+	t.Helper()
+	input := &watchInput{}
+	input.start(now)
+	socket, discovery := newSocketPair(t)
+	input.socket.Store(socket)
+	input.wait(now())
+	discovery.Write([]byte("notice"))
+	waitReadable(t, socket)
+	return input, socket, discovery
+}
+
 // TestNoticeBeingReadIsNotMissed: the event loop looked at the watch when a notice had been taken from the connection and was
 // not yet noted as read, or was taken between the two questions of the look. It found nothing, and attempts began for
 // checkInterval.
 func TestNoticeBeingReadIsNotMissed(t *testing.T) {
-	const notice = "notice"
-	const clock = time.Hour
-	watch := func(t *testing.T) (*watchInput, *socket) {
-		input := &watchInput{now: func() time.Duration { return clock }}
-		socket, discovery := newSocketPair(t)
-		input.socket.Store(socket)
-		discovery.Write([]byte(notice))
-		waitReadable(t, socket)
-		return input, socket
-	}
+	clock := time.Hour
+	now := func() time.Duration { return clock }
 	requireFound := func(t *testing.T, input *watchInput) {
 		t.Helper()
+		clock += checkInterval
 		if input.unhandledFor(clock) == 0 {
 			t.Error("a look finds nothing")
 		}
 	}
-	t.Run("while the watch notes the read", func(t *testing.T) {
-		input, socket := watch(t)
-		input.now = func() time.Duration { // asked as the read is noted
-			requireFound(t, input)
-			return clock
-		}
+	t.Run("while the watch reads", func(t *testing.T) {
+		input, socket, _ := startUnreadWatch(t, now)
+		conn := &hookedConn{RawConn: socket.raw}
+		conn.after = func() { requireFound(t, input) }
+		socket.raw = conn
 		input.read(socket)
 		requireFound(t, input)
 	})
 	t.Run("while the event loop looks", func(t *testing.T) {
-		input, socket := watch(t)
-		socket.raw = &connBeforeControl{RawConn: socket.raw, before: func() { input.read(socket) }}
+		input, socket, _ := startUnreadWatch(t, now)
+		conn := &hookedConn{RawConn: socket.raw}
+		conn.before = func() {
+			input.read(socket)
+		}
+		socket.raw = conn
 		requireFound(t, input)
 	})
 }
+
+// TestNoticeBeforeHeartbeatIsNotNew: a heartbeat that had come behind an unread notice made the notice look new to the first look
+// after a stall.
+func TestNoticeBeforeHeartbeatIsNotNew(t *testing.T) {
+	const stall = 100 * time.Millisecond
+	started := time.Now()
+	input, _, discovery := startUnreadWatch(t, func() time.Duration { return time.Hour + time.Since(started) })
+	time.Sleep(stall)
+	discovery.Write([]byte("\n"))
+	if unread := input.unhandledFor(input.now()); unread < stall {
+		t.Errorf("unread for %v, want %v at least", unread, stall)
+	}
+}
