A client's connection answers 504 where the event loop stands still across a deadline

Cause: only the event loop could answer, and the margin for a late loop is fixed as a request arrives; loops that had been less than 0.1 s late stood still for 0.2 to 1.0 s, while in 15 of 19 such stretches another goroutine of the process ticked on time. Change: the connection's own read deadline answers 504 halfway between the time at which the instance is to answer and the end of the client's timeout; the instance's later answer is dropped, which the connection could do already, and no attempt begins. Logs of a connection's own answers come after their write. The expected lateness moved to proxy.Shared, since connections ask for it too. Tests: TestConnectionAnswersBesideHeldUpEventLoop and TestConnectionServesOnAfterItsAnswer, both failed before; TestDeadlineWithinBatch and TestLateInstanceAnswersEarlier ask the instance now whether it has answered, since the client's answer could come from the connection: each still fails without its own fix (tried).

--- a/internal/server/clientconn.go
+++ b/internal/server/clientconn.go
@@ -179,8 +179,8 @@
 			}
 			cc.client.RejectOverload(now, request)
 		}
-		cc.logOwnResponses()
 		cc.writeOutput()
+		cc.logOwnResponses()                // a log that is held up must not hold up the response
 		if cc.socket.unwrittenBytes() > 0 { // flushed goes on
 			break
 		}
@@ -248,12 +248,14 @@
 	cc.advance(cc.server.now(), nil)
 }
 
-// respond writes a whole response. closes says that its head announces the connection's end. It does not block.
-func (cc *clientConn) respond(now time.Duration, exchange *proxy.Exchange, response []byte, closes bool) {
+// respond writes a whole response, and reports false for an exchange that has one, or whose client has left. closes says that
+// its head announces the connection's end. It does not block.
+func (cc *clientConn) respond(now time.Duration, exchange *proxy.Exchange, response []byte, closes bool) bool {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	cc.client.Respond(now, exchange, response, closes)
+	responded := cc.client.Respond(now, exchange, response, closes)
 	cc.advance(now, nil)
+	return responded
 }
 
 // startStream writes the beginning of a streamed response. closes says that only the connection's end can end it. It does
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -183,8 +183,9 @@
 		case proxy.CloseBackend:
 			effect.Conn.Owner.(*backendConn).close()
 		case proxy.Respond:
-			effect.Exchange.Owner.(*clientConn).respond(s.now(), effect.Exchange, effect.Bytes, effect.CloseAfterResponse)
-			s.logResponse(effect.Exchange)
+			if effect.Exchange.Owner.(*clientConn).respond(s.now(), effect.Exchange, effect.Bytes, effect.CloseAfterResponse) {
+				s.logResponse(effect.Exchange)
+			}
 		case proxy.StreamResponse:
 			effect.Exchange.Owner.(*clientConn).startStream(s.now(), effect.Exchange, effect.Bytes, effect.CloseAfterResponse)
 			effect.Conn.Owner.(*backendConn).streamPermit <- true
@@ -222,6 +223,7 @@
 func (s *Server) noteLateness(now, late time.Duration) {
 	s.maxLateness = max(s.maxLateness, late)
 	s.recentLateness.note(now, late)
+	s.shared.ExpectLateness(s.recentLateness.at(now))
 	if s.debug && late >= notableLateness {
 		s.log.Debug("event loop late", "ms", late.Milliseconds())
 	}
--- a/internal/server/lateness_test.go
+++ b/internal/server/lateness_test.go
@@ -1,6 +1,9 @@
 package server
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -28,7 +31,7 @@
 }
 
 // TestDeadlineWithinBatch: a request's deadline passes while the event loop is busy with a batch of messages, as it is on a
-// machine that seldom runs it. The answer must not wait for the end of the batch.
+// machine that seldom runs it. The instance's answer must not wait for the end of the batch.
 func TestDeadlineWithinBatch(t *testing.T) {
 	backend, got := startSilentBackend(t)
 	r := startGateway(t, "", "", backend)
@@ -36,10 +39,8 @@
 	<-got
 	release := r.hold()
 	r.holdUpFor(400 * time.Millisecond)
-	r.server.post(inspection(func(*proxy.Instance, time.Duration) {
-		select {
-		case <-answered:
-		case <-time.After(orderTimeout):
+	r.server.post(inspection(func(instance *proxy.Instance, _ time.Duration) {
+		if instance.Unanswered() > 0 {
 			t.Error("the answer waits for the end of the batch")
 		}
 	}))
@@ -64,13 +65,68 @@
 	answered := r.sendTimed(strconv.FormatInt(patience.Milliseconds(), 10))
 	<-got
 	time.Sleep(time.Until(sentAt.Add(patience - lateness/2)))
-	r.holdUpFor(lateness) // until the client has given up
+	r.server.post(inspection(func(instance *proxy.Instance, _ time.Duration) {
+		if instance.Unanswered() > 0 {
+			t.Error("the instance has not answered earlier")
+		}
+		time.Sleep(lateness) // until the client has given up
+	}))
 	<-answered
 	if took := time.Since(sentAt); took > patience {
 		t.Errorf("answered after %v, the client waited for %v", took, patience)
 	}
 }
 
+// TestConnectionAnswersBesideHeldUpEventLoop: an event loop that had not been late before stood still across a request's deadline,
+// and the answer came after the client had given up, though the client's connection could be served.
+func TestConnectionAnswersBesideHeldUpEventLoop(t *testing.T) {
+	const patience = time.Second
+	backend, got := startSilentBackend(t)
+	r := startGateway(t, "", "", backend)
+	answered := r.sendTimed(strconv.FormatInt(patience.Milliseconds(), 10))
+	<-got
+	release := r.hold()
+	defer release()
+	select {
+	case <-answered:
+	case <-time.After(patience):
+		t.Error("not answered in the client's time")
+	}
+}
+
+// TestConnectionServesOnAfterItsAnswer: the connection that has answered in place of a held-up event loop serves the next request
+// on it, and drops the instance's answer to the first.
+func TestConnectionServesOnAfterItsAnswer(t *testing.T) {
+	backend, got := startSilentBackend(t)
+	r := startGateway(t, "", "", backend)
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(orderTimeout))
+	in := bufio.NewReader(c)
+	requireStatus := func(want int) {
+		t.Helper()
+		response, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, response.Body)
+		if response.StatusCode != want {
+			t.Errorf("status %d, want %d", response.StatusCode, want)
+		}
+	}
+	io.WriteString(c, request("POST", "/pay", "ka", "Content-Length: 0\r\nX-Patience: 300\r\n"))
+	<-got
+	release := r.hold()
+	requireStatus(http.StatusGatewayTimeout)
+	release()
+	r.waitForLoop()
+	io.WriteString(c, request("GET", "/nowhere", "ka", ""))
+	requireStatus(http.StatusNotFound)
+}
+
 // TestRecentLateness: lateness counts for one period at least, and for two at most.
 func TestRecentLateness(t *testing.T) {
 	const late = 200 * time.Millisecond
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -122,7 +122,6 @@
 	if s.instance, err = proxy.NewInstance(s.shared, opt.Seed, s.startedAt); err != nil {
 		return nil, err
 	}
-	s.instance.ExpectedLateness = s.recentLateness.at
 	if s.discovery != nil {
 		s.instance.EndpointsUnhandledFor = s.endpointsUnhandledFor
 	}
--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -106,7 +106,7 @@
 		return true
 	case ex.isProbe:
 		return false
-	case ex.state != Forwarding || ex.clientLeft.Load(): // answered, or nobody waits for it; some deployments don't cancel attempts
+	case ex.state != Forwarding || ex.unawaited.Load(): // answered, or nobody waits for it; some deployments don't cancel attempts
 		return true
 	case inst.now >= ex.attempts[index].deadline: // there is no time left for the backend
 		return true
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -46,6 +46,7 @@
 	trailers         []http1.Field
 	bytesToSkip      int64          // of phaseSkipBody: how much of the body is still read
 	localResponse    *localResponse // that it gets without a decision; nil: none
+	answerDeadline   time.Duration  // of phaseAwaitResponse: when the connection answers in place of the instance; 0: it does not
 	handedOutRequest bool           // a request was handed out for the instance to decide; local responses don't count
 
 	// What came while a response was awaited.
@@ -107,6 +108,8 @@
 		deadline = c.phaseSince + time.Duration(limits.HeadTimeout)
 	case phaseBody, phaseSkipBody:
 		deadline = c.phaseSince + time.Duration(limits.BodyTimeout)
+	case phaseAwaitResponse:
+		return c.answerDeadline
 	default:
 		return 0
 	}
@@ -116,11 +119,16 @@
 	return deadline
 }
 
-// DeadlinePassed closes the connection if its deadline has passed. A client that was sending a request gets 408.
+// DeadlinePassed closes the connection if its deadline has passed. A client that was sending a request gets 408; one that
+// awaits a response gets 504, and its connection goes on.
 func (c *ClientConn) DeadlinePassed(now time.Duration) {
 	if deadline := c.Deadline(); deadline == 0 || now < deadline {
 		return
 	}
+	if c.phase == phaseAwaitResponse {
+		c.answerInPlaceOfInstance(now)
+		return
+	}
 	if c.phase == phaseHead || c.phase == phaseBody || c.phase == phaseSkipBody {
 		c.setLocalResponse(requestTimeout, true)
 		c.sendLocalResponse(now)
@@ -175,7 +183,7 @@
 		ex = nil
 	}
 	if ex != nil {
-		ex.clientLeft.Store(true)
+		ex.unawaited.Store(true)
 	}
 	c.close()
 	return ex
--- a/proxy/clientrequest.go
+++ b/proxy/clientrequest.go
@@ -133,6 +133,7 @@
 	c.handedOutRequest = true
 	ex.Arrived = min(now, c.receivedAt) // the client waits since its bytes came, not since the response before it
 	c.phase, c.phaseSince = phaseAwaitResponse, now
+	c.setAnswerDeadline(now)
 	return ex
 }
 
--- a/proxy/clientresponse.go
+++ b/proxy/clientresponse.go
@@ -14,11 +14,14 @@
 // Respond appends the complete response to an exchange, as the effect Respond gives it. The exchange is over then, and the
 // connection goes on, with Resume, or closes. closeAfterResponse says that the response is the connection's last.
 //
-// Respond, and the methods for streamed responses, do nothing for an exchange that is not the one under way.
-func (c *ClientConn) Respond(now time.Duration, ex *Exchange, b []byte, closeAfterResponse bool) {
-	if c.appendResponse(ex, b, closeAfterResponse) {
-		c.finishResponse(now)
+// Respond, and the methods for streamed responses, do nothing for an exchange that is not the one under way: Respond reports
+// false then.
+func (c *ClientConn) Respond(now time.Duration, ex *Exchange, b []byte, closeAfterResponse bool) bool {
+	if !c.appendResponse(ex, b, closeAfterResponse) {
+		return false
 	}
+	c.finishResponse(now)
+	return true
 }
 
 // BeginResponse appends the beginning of a streamed response, as the effect StreamResponse gives it. The rest follows by
@@ -34,9 +37,32 @@
 	}
 	c.Outgoing = append(c.Outgoing, b...)
 	c.closeAfterResponse = c.closeAfterResponse || closeAfterResponse
+	c.answerDeadline = 0
 	return true
 }
 
+// setAnswerDeadline sets when the connection answers the exchange under way in place of an instance that is late: halfway between
+// the time at which the instance is to answer and the end of the client's timeout. A request that comes with less time is
+// left to the instance.
+func (c *ClientConn) setAnswerDeadline(now time.Duration) {
+	margin := time.Duration(c.shared.Config.Limits.ResponseMargin) / 2
+	c.answerDeadline = c.exchange.Arrived + c.exchange.Timeout - margin - c.shared.latenessMargin(c.exchange.Timeout)
+	if c.answerDeadline < now+margin {
+		c.answerDeadline = 0
+	}
+}
+
+// answerInPlaceOfInstance answers 504 to the exchange under way, whose answer by the instance is late. What the instance answers
+// after that is dropped, and no attempt begins any more.
+func (c *ClientConn) answerInPlaceOfInstance(now time.Duration) {
+	ex := c.exchange
+	ex.unawaited.Store(true)
+	closeAfterResponse := ex.CloseAfterResponse || c.shared.closesAfterResponse()
+	rendered := c.shared.appendLocalResponse(nil, &deadlineExceeded, ex.Method, ex.MinorVersion, closeAfterResponse, 0)
+	c.LocalStatuses = append(c.LocalStatuses, deadlineExceeded.Status)
+	c.Respond(now, ex, rendered, closeAfterResponse)
+}
+
 // RejectOverload answers 503 to an exchange that the instance's queue has no room for. It was not handed to the instance.
 func (c *ClientConn) RejectOverload(now time.Duration, ex *Exchange) {
 	c.shared.release(ex.reservedBytes)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -100,7 +100,7 @@
 // Exchange is a request from its last byte until the last byte of its answer and the end of its last attempt.
 //
 // A ClientConn makes it and fills the exported fields but ID and Status. From Instance.RequestArrived on it belongs to the
-// instance's owner; only clientLeft is written by others.
+// instance's owner; only unawaited is written by others.
 type Exchange struct {
 	Owner                any                // the runtime's connection, as given to NewClientConn; for the runtime's use
 	ID                   decision.RequestID // set by RequestArrived
@@ -120,7 +120,7 @@
 	streamingConn    *BackendConn       // and its connection
 	isProbe          bool               // a health check of the instance's own, which has no client
 	probedBackend    decision.BackendID // where isProbe
-	clientLeft       atomic.Bool        // set by ClientConn.Disconnected, before Instance.ClientLeft
+	unawaited        atomic.Bool        // its client has left, or its connection has answered in place of the instance
 	attemptFieldsAt  int                // offset in RenderedRequest at which an attempt adds header fields; 0: none are added
 	reservedBytes    int                // reserved in Shared.ReservedBytes until the exchange is released
 }
--- a/proxy/instance.go
+++ b/proxy/instance.go
@@ -36,9 +36,6 @@
 	// EndpointsUnhandledFor, if set, is called just before an attempt begins. It returns for how long a message of the endpoint
 	// list has waited to be read or to be handed over; 0: none waits. It must not block.
 	EndpointsUnhandledFor func() time.Duration
-	// ExpectedLateness, if set, is called as an exchange arrives. It returns how late timers may be, so that the answer comes
-	// earlier by as much. It must not block.
-	ExpectedLateness func(now time.Duration) time.Duration
 
 	shared  *Shared
 	gateway *decision.Gateway
--- a/proxy/requests.go
+++ b/proxy/requests.go
@@ -8,9 +8,6 @@
 	"sandyard/decision"
 )
 
-// maxLatenessMarginDivisor bounds the margin for late timers by a part of the client's timeout: the rest is the backends'.
-const maxLatenessMarginDivisor = 4
-
 // RequestArrived takes an exchange in, for which a client waits. It gets its final answer within its timeout, less
 // limits.answer-margin, and earlier where the instance has been late.
 //
@@ -27,7 +24,7 @@
 	}
 	inst.lastRequestID++
 	ex.ID, ex.state = inst.lastRequestID, Deciding
-	ex.latenessMargin = inst.latenessMargin(ex)
+	ex.latenessMargin = inst.shared.latenessMargin(ex.Timeout)
 	inst.requests[ex.ID] = ex
 	inst.unanswered++
 	inst.Stats.Arrived++
@@ -59,14 +56,6 @@
 	return ex.Arrived + ex.Timeout - time.Duration(inst.shared.Config.Limits.ResponseMargin) - ex.latenessMargin
 }
 
-// latenessMargin is how much earlier an exchange that arrives is answered, since timers may be late.
-func (inst *Instance) latenessMargin(ex *Exchange) time.Duration {
-	if inst.ExpectedLateness == nil {
-		return 0
-	}
-	return min(inst.ExpectedLateness(inst.now), ex.Timeout/maxLatenessMarginDivisor)
-}
-
 // ClientLeft reports that an exchange's client is gone. It gets no answer; the decision gateway gets the event and may
 // cancel attempts that are open. A backend connection whose response was being streamed is closed.
 func (inst *Instance) ClientLeft(now time.Duration, ex *Exchange) {
--- a/proxy/shared.go
+++ b/proxy/shared.go
@@ -12,6 +12,9 @@
 // what happened before the process started, above all the start of a backend's process, has a time above zero, too.
 const Start = 24 * time.Hour
 
+// maxLatenessMarginDivisor bounds the margin for late timers by a part of the client's timeout: the rest is the backends'.
+const maxLatenessMarginDivisor = 4
+
 // Shared is what the parts of one instance have in common. All goroutines may use it; Config and Protocol are not changed
 // once the instance runs.
 type Shared struct {
@@ -19,11 +22,20 @@
 	Protocol              protocol.Protocol
 	ReservedBytes         atomic.Int64 // memory held for requests, in bytes; bounded by limits.memory
 	ClientConns           atomic.Int64 // open client connections; counted by the runtime
+	expectedLateness      atomic.Int64 // a time.Duration
 	starting              atomic.Bool
 	closingAfterResponses atomic.Bool
 	draining              atomic.Bool
 }
 
+// ExpectLateness says how late timers may be: answers come earlier by as much.
+func (s *Shared) ExpectLateness(late time.Duration) { s.expectedLateness.Store(int64(late)) }
+
+// latenessMargin is how much earlier an exchange that arrives is answered, since timers may be late.
+func (s *Shared) latenessMargin(timeout time.Duration) time.Duration {
+	return min(time.Duration(s.expectedLateness.Load()), timeout/maxLatenessMarginDivisor)
+}
+
 // MarkStarting says that the instance has no endpoint list yet that it may go by: requests are answered 503.
 func (s *Shared) MarkStarting() { s.starting.Store(true) }
 
