The test of a stalled process waits until the process stands still

Cause: the test took a process for stopped once the signal was sent; on a busy machine its threads run on for some milliseconds, so that a request that came then could be decided on and be stopped before its first byte, which nothing in the instance can see. Evidence, a trial on with records: the request that broke was being handled before the stop and was written 1.502 s later; the states of the process's threads were RSSSSSS after the signal and RRSRSSS after the requests. Change: stop returns when the kernel reports that all threads have stopped; the notice and the requests come after that, as the test's text says, and the bound, the number of requests and the rounds are as they were.

--- a/internal/cli/node_stall_test.go
+++ b/internal/cli/node_stall_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -110,6 +112,17 @@
 
 func writeChunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
 
+// stop stops the process, and returns once none of its threads runs any more: on a busy machine they do so for some milliseconds.
+func (p *nodeProcess) stop() {
+	p.t.Helper()
+	p.cmd.Process.Signal(syscall.SIGSTOP)
+	for err := error(unix.EINTR); err != nil; {
+		if err = unix.Waitid(unix.P_PID, p.cmd.Process.Pid, nil, unix.WSTOPPED, nil); err != nil && err != unix.EINTR {
+			p.t.Fatal(err)
+		}
+	}
+}
+
 // testStall stops a process some time after a heartbeat, and lets it run again; a notice and requests come meanwhile.
 func testStall(t *testing.T, after, stall time.Duration, beats bool) {
 	var draining firstBytes
@@ -132,7 +145,7 @@
 	}
 	writeChunk(watch, "\n")
 	time.Sleep(after)
-	p.cmd.Process.Signal(syscall.SIGSTOP)
+	p.stop()
 	close(discovery.notified)
 	writeChunk(watch, discovery.notice)
 	noticedAt := time.Now()
