--- a/internal/cli/node_test.go
+++ b/internal/cli/node_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"sandyard/internal/loopback"
 )
 
 // TestMain lets the test binary run an instance as a process of its own, with few descriptors.
@@ -72,12 +74,11 @@
 
 func startProcess(t *testing.T, text func(listen string) string) *nodeProcess {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free now
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &nodeProcess{t: t, listen: ln.Addr().String(), file: filepath.Join(t.TempDir(), "config.json"), exited: make(chan error, 1)}
-	ln.Close()
+	p := &nodeProcess{t: t, listen: address, file: filepath.Join(t.TempDir(), "config.json"), exited: make(chan error, 1)}
 	p.configure(text(p.listen))
 	p.cmd = exec.Command(os.Args[0])
 	p.cmd.Env = []string{"TEST_AS_NODE=1", "NODE_CONFIG=" + p.file}
@@ -110,8 +111,10 @@
 // waitForLog reads the log up to a line that has all of what.
 func (p *nodeProcess) waitForLog(what ...string) {
 	p.t.Helper()
+	last := ""
 next:
 	for p.log.Scan() {
+		last = p.log.Text()
 		for _, w := range what {
 			if !strings.Contains(p.log.Text(), w) {
 				continue next
@@ -119,7 +122,7 @@
 		}
 		return
 	}
-	p.t.Fatalf("not logged: %v (%v)", what, p.log.Err())
+	p.t.Fatalf("not logged: %v (%v), the last record is %q", what, p.log.Err(), last)
 }
 
 // maxTimeToReady is how long a process may take until it is ready, by the operators' gate.
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,6 +12,7 @@
 	"time"
 
 	"sandyard/internal/drill"
+	"sandyard/internal/loopback"
 )
 
 // instanceProcess is the process of the instance.
@@ -26,12 +26,11 @@
 
 // startInstance starts the instance and waits until it is ready.
 func (r *run) startInstance() (*instanceProcess, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free now
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
-	r.instanceAddress = listener.Addr().String()
-	listener.Close()
+	r.instanceAddress = address
 	if err := r.writeConfig(0); err != nil {
 		return nil, err
 	}
