Ties of connections' answers are drawn apart: the simulator's scripts find their mistakes

Cause: since each request has one event more, and each event draws its tie-break from one stream of the seed: the order of all later events of one time changed, and scripts that were bred for one order missed their mistake. Change: the times at which connections answer have a stream and a timer of their own.

--- a/internal/simulation/clock.go
+++ b/internal/simulation/clock.go
@@ -28,17 +28,18 @@
 
 // clock is the queue of events, a binary heap.
 type clock struct {
-	now         time.Duration
-	heap        []event
-	seq         uint64
-	events      uint64
-	tieBreaks   *rand.Rand
-	digestState hash.Hash64
-	log         func(at time.Duration, what string) // nil: no log
+	now             time.Duration
+	heap            []event
+	seq             uint64
+	events          uint64
+	tieBreaks       *rand.Rand
+	answerTieBreaks *rand.Rand // of scheduleAnswer
+	digestState     hash.Hash64
+	log             func(at time.Duration, what string) // nil: no log
 }
 
 func newClock(seed uint64) *clock {
-	return &clock{tieBreaks: stream(seed, "ties"), digestState: fnv.New64a()}
+	return &clock{tieBreaks: stream(seed, "ties"), answerTieBreaks: stream(seed, "answer ties"), digestState: fnv.New64a()}
 }
 
 // stream returns the random source of one purpose, so that more draws for one purpose don't change those of others.
@@ -53,6 +54,12 @@
 	c.push(t, uint32(c.tieBreaks.Uint32()>>24), do)
 }
 
+// scheduleAnswer is schedule for the times at which connections answer in place of their instance. Its tie-breaks are draws of their
+// own: with those of schedule, each request would change the order of all events after it.
+func (c *clock) scheduleAnswer(t time.Duration, do func()) {
+	c.push(t, uint32(c.answerTieBreaks.Uint32()>>24), do)
+}
+
 // scheduleAfter runs something a while from now.
 func (c *clock) scheduleAfter(d time.Duration, do func()) { c.schedule(c.now+max(0, d), do) }
 
--- a/internal/simulation/instanceclient.go
+++ b/internal/simulation/instanceclient.go
@@ -9,15 +9,16 @@
 
 // instanceClientConn is an instance's connection to a client.
 type instanceClientConn struct {
-	instance     *simInstance
-	conn         *netConn
-	machine      *proxy.ClientConn
-	unsent       []byte
-	done         bool
-	deadlineAt   time.Duration
-	blockedSince time.Duration        // since when the client has taken nothing of unsent
-	streamSource *instanceBackendConn // whose response is being streamed
-	lingering    bool                 // all is written; what still arrives is read and dropped
+	instance         *simInstance
+	conn             *netConn
+	machine          *proxy.ClientConn
+	unsent           []byte
+	done             bool
+	deadlineAt       time.Duration
+	answerDeadlineAt time.Duration
+	blockedSince     time.Duration        // since when the client has taken nothing of unsent
+	streamSource     *instanceBackendConn // whose response is being streamed
+	lingering        bool                 // all is written; what still arrives is read and dropped
 }
 
 func (inst *simInstance) accept(conn *netConn) {
@@ -38,6 +39,10 @@
 
 func (c *instanceClientConn) armDeadline() {
 	d := c.machine.Deadline()
+	if c.machine.AwaitingResponse() {
+		c.armAnswerDeadline(d)
+		return
+	}
 	if d == 0 || c.deadlineAt != 0 && c.deadlineAt <= d {
 		return
 	}
@@ -52,6 +57,21 @@
 	}))
 }
 
+// armAnswerDeadline has the connection answer at a time, if the instance has not answered by then; 0: never.
+func (c *instanceClientConn) armAnswerDeadline(d time.Duration) {
+	if d == 0 || d == c.answerDeadlineAt {
+		return
+	}
+	c.answerDeadlineAt = d
+	c.instance.sim.scheduleAnswer(c.instance.simTime(d), c.instance.thisIncarnation(func() {
+		if c.done || c.answerDeadlineAt != d || c.machine.Deadline() != d {
+			return
+		}
+		c.machine.DeadlinePassed(c.instance.now())
+		c.proceed(nil)
+	}))
+}
+
 func (c *instanceClientConn) readable(*netConn) {
 	for !c.done && len(c.conn.received) > 0 && len(c.unsent) <= maxUnsentBytes {
 		if closes, _ := c.machine.Closing(); closes {
