Review case 2: an answer whose length does not fit is cut and served as complete

Need: the review looks for callers that get wrong data.

The rest of the body stands in the same read behind the answer, and the front door uses it only to give up the connection.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -37,7 +37,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*options) (verdict, error){
-	"expired-key": playExpiredKey,
+	"expired-key":  playExpiredKey,
+	"short-length": playShortLength,
 }
 
 func main() { os.Exit(run()) }
