--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -29,6 +29,7 @@
 // backendGroup holds what the backends share: the memory of the keys and the list of what reached them.
 type backendGroup struct {
 	record    *record
+	cores     int                                       // of each backend: requests that it works on at once
 	keyMemory time.Duration                             // how long a key is remembered
 	work      func() time.Duration                      // processing time of a request
 	fault     func(*backend, *attempt) func(*http1Peer) // returns how the answer is spoilt; nil: it is not
@@ -56,15 +57,15 @@
 }
 
 func newBackendGroup(rec *record, work func() time.Duration, keyMemory time.Duration) *backendGroup {
-	return &backendGroup{record: rec, work: work, keyMemory: keyMemory, keys: map[string]time.Duration{},
+	return &backendGroup{record: rec, cores: 2, work: work, keyMemory: keyMemory, keys: map[string]time.Duration{},
 		attempts: map[string][]*attempt{}, byKey: map[string][]*attempt{}}
 }
 
-// start starts backends with two cores each and returns their entries in the endpoint list.
+// start starts backends and returns their entries in the endpoint list.
 func (g *backendGroup) start(count int, sites []string) ([]listEntry, error) {
 	var entries []listEntry
 	for i := range count {
-		b := &backend{name: fmt.Sprintf("s-%08x", i+1), number: i, group: g, cores: make(chan struct{}, 2)}
+		b := &backend{name: fmt.Sprintf("s-%08x", i+1), number: i, group: g, cores: make(chan struct{}, g.cores)}
 		var err error
 		if b.listener, err = listen(b.serve); err != nil {
 			return nil, err
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -39,6 +39,7 @@
 var cases = map[string]func(*options) (verdict, error){
 	"expired-key":  playExpiredKey,
 	"short-length": playShortLength,
+	"stuck":        playStuck,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig/ordersettings.go
+++ b/review/rig/ordersettings.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// orderTry sends one request of the first customer's classes.
-func orderTry(w *world) *try {
+// orderTry sends one request of the first customer's classes through an instance.
+func orderTry(w *world, via int) *try {
 	t := &try{id: randomID(), customer: rand.Uint32N(30) + 1, units: 1, spread: 2, plan: "commercial"}
 	deadline := 3 * time.Second
 	switch draw := rand.Float64(); {
@@ -42,7 +42,6 @@
 		t.class, t.method, t.body = "post-payment", "POST", 200
 	}
 	t.budget = time.Duration((0.5 + rand.Float64()/2) * float64(deadline)).Truncate(time.Millisecond)
-	via := rand.IntN(len(w.instances))
 	t.via = w.instances[via].config.Name
 	w.pools[via].send(w.opt.record, t)
 	return t
--- a/review/rig/shortlength.go
+++ b/review/rig/shortlength.go
@@ -41,7 +41,7 @@
 	var clients sync.WaitGroup
 	poisson(40, shortLength, func() {
 		clients.Go(func() {
-			t := orderTry(w)
+			t := orderTry(w, rand.IntN(len(w.instances)))
 			mu.Lock()
 			defer mu.Unlock()
 			counts[t.status]++
