--- a/review/rig/stuck.go
+++ b/review/rig/stuck.go
@@ -10,9 +10,9 @@
 
 // The case of the stuck instance: an instance that starts while a class is left unanswered refuses everything for good.
 const (
-	stuckInstances  = 24
-	stuckBackends   = 7
-	failingBackends = 4                // 57% leave the class unanswered
+	stuckInstances  = 48
+	stuckBackends   = 14
+	failingBackends = 8                // 57% leave the class unanswered
 	meanRate        = 4.5              // requests a second at an instance
 	rateSpread      = 0.8              // standard deviation of the logarithm of an instance's rate
 	failLength      = 30 * time.Second // from the start of the clients until all backends answer everything
