A backend's response that more bytes follow in the same read is not served

Cause: proxy.ResponseReader took a response to end where its head says. What stood behind the end in the same read was only used to give up the connection; the response was reported as Complete.

Evidence: in the record each client with half a body had asked the backend that stated half for that very request, and nobody else had less than its body, so neither a reused connection nor the client's side is at fault.

Change: such a response is Malformed, also from a health check: its attempt has failed and may have run, and is tried again where that is allowed. A streamed one is aborted before its last bytes, which its client can tell. Responses that have no body by status or method (HEAD, 204, 304) are served as before. It works since nothing of a buffered response has left before its end is seen. A warning, one a second at most, names the backend; "stopped" counts the connections.

TestBytesAfterResponseCloseConnection was wrong: it wanted the first of two responses served, and which of them is the request's can't be told. TestResponseWithTrailingBytesIsRetried replaces it: the connection is closed as before, and the client gets the other backend's answer.

--- a/internal/http1/framing.go
+++ b/internal/http1/framing.go
@@ -102,11 +102,10 @@
 	if h.Status == statusSwitchingProtocols {
 		return badRequest("a switch of protocols that nobody asked for")
 	}
-	bodiless := h.isInterim() || h.Status == statusNoContent // Transfer-Encoding is not allowed in these responses (section 6.1)
-	if bodiless && h.hasTransferEncoding {
+	if h.hasTransferEncoding && (h.isInterim() || h.Status == statusNoContent) { // not allowed in these responses (section 6.1)
 		return badRequest("Transfer-Encoding where there is no body")
 	}
-	if bodiless || h.Status == statusNotModified || method == "HEAD" {
+	if h.IsBodiless(method) {
 		h.Length = 0
 		return nil
 	}
@@ -117,5 +116,11 @@
 	return nil
 }
 
+// IsBodiless reports whether a response to a request with the given method has no body, whatever its fields say (RFC 9112
+// section 6.3, item 1).
+func (h *Head) IsBodiless(method string) bool {
+	return method == "HEAD" || h.isInterim() || h.Status == statusNoContent || h.Status == statusNotModified
+}
+
 // isInterim reports whether a response is interim, that is, followed by the final one (1xx, RFC 9110 section 15.2).
 func (h *Head) isInterim() bool { return h.Status < statusOK }
--- a/internal/server/backendconn.go
+++ b/internal/server/backendconn.go
@@ -24,6 +24,7 @@
 	socket    *socket         // nil until the dial has succeeded
 	exchange  *proxy.Exchange // the exchange whose response is awaited
 	closed    bool            // closed by the event loop, or the end of the connection was posted: nothing more is posted
+	trailing  bool            // bytes were received that belong to no response
 }
 
 // dialBackend starts the goroutine of a new connection. The dial times out after limits.connect-timeout.
@@ -66,6 +67,7 @@
 	defer stop()
 	for bc.readOnce(socket) {
 	}
+	bc.recordTrailingBytes()
 }
 
 // handleDialResult posts the result of the dial, unless the event loop has closed the connection in the meantime. It reports
@@ -98,6 +100,7 @@
 	exchange := bc.exchange
 	if exchange == nil { // the end of an idle connection, or bytes without a request: it cannot be used any more
 		bc.closed = true
+		bc.trailing = len(b) > 0
 		bc.mu.Unlock()
 		bc.postDisconnected()
 		return false
@@ -122,11 +125,22 @@
 	case proxy.Complete, proxy.Ended, proxy.Malformed:
 		bc.exchange = nil
 		bc.closed = response.Kind == proxy.Malformed
+		bc.trailing = response.TrailingBytes
 		response.ReuseConn = response.ReuseConn && bc.socket.unwrittenBytes() == 0
 	}
 	return response
 }
 
+// recordTrailingBytes records that the connection has ended after bytes that belong to no response, if so.
+func (bc *backendConn) recordTrailingBytes() {
+	bc.mu.Lock()
+	trailing := bc.trailing
+	bc.mu.Unlock()
+	if trailing {
+		bc.server.recordTrailingBytes(bc.conn.Addr)
+	}
+}
+
 // handleResponse posts a response to the event loop, or passes the body of a streamed response to its client. It blocks until
 // the event loop permits a stream, and while too many bytes are buffered for the client. It returns false if the connection
 // must be closed.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -73,7 +73,8 @@
 	cancelConnections context.CancelFunc
 	goroutines        sync.WaitGroup // of connections, of the endpoint watch and of reads of the endpoint file
 
-	expiredReads atomic.Int64 // reads from clients that ended at their deadline
+	expiredReads  atomic.Int64 // reads from clients that ended at their deadline
+	trailingBytes trailingBytes
 
 	shuttingDown     atomic.Bool // from step 1 of the shutdown on
 	shutdownDeadline time.Time   // set at step 1, before the accept loop ends
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -122,7 +122,7 @@
 func (s *Server) logStatistics() {
 	st := s.instance.Stats
 	s.log.Info("stopped", "arrived", st.Arrived, "served", st.Served, "refused_quota", st.RejectedOverQuota,
-		"refused_room", st.RejectedNoCapacity, "failed", st.Failed, "left", st.ClientsLeft, "broken", st.BrokenResponses,
+		"refused_room", st.RejectedNoCapacity, "failed", st.Failed, "left", st.ClientsLeft, "broken", st.BrokenResponses, "trailing", s.trailingBytes.count(),
 		"attempts", st.Attempts, "dials", st.Dials, "expiries", s.expiredReads.Load(), "keeper_calls", st.CounterCalls,
 		"max_late_ms", s.maxLoopDelay.Milliseconds(), "max_list_age_ms", s.listStatus.maxAge.Milliseconds(), "old_list_attempts", s.listStatus.oldAttempts)
 }
--- a/proxy/backendconn_test.go
+++ b/proxy/backendconn_test.go
@@ -80,15 +80,62 @@
 	}
 }
 
-// A backend sends extra bytes after its response. They belong to no request and would be parsed as the response to the next
-// one, so the connection must be closed.
-func TestBytesAfterResponseCloseConnection(t *testing.T) {
-	r := newHarness(t, 1, 1, "")
+// TestResponseWithTrailingBytesIsRetried guards against a client that gets one of two responses, or a part of one, as its answer:
+// the backend sent more bytes behind its response. Another backend is tried, and the connection is closed.
+func TestResponseWithTrailingBytesIsRetried(t *testing.T) {
+	r := newHarness(t, 2, 1, "")
 	_, ex := r.request("GET", "/look", "ka", "")
 	conn, _ := r.connect()
 	r.reply(conn, ex, ok200+"HTTP/1.1 200 OK\r\n")
-	r.wantResponse("200")
+	r.wantNone(Respond)
 	if r.want(CloseBackend).Conn != conn {
 		t.Error("the connection is not closed")
 	}
+	second, _ := r.connect()
+	if second.Addr == conn.Addr {
+		t.Error("the same backend is tried again")
+	}
+	r.reply(second, ex, ok200)
+	r.wantResponse("200")
+	r.requireQuiescent()
+}
+
+// TestResponseWithTrailingBytesIsNotRetriedIfUnsafe checks that a request that must not run twice fails: its attempt may have run.
+func TestResponseWithTrailingBytesIsNotRetriedIfUnsafe(t *testing.T) {
+	r := newHarness(t, 2, 1, "")
+	_, ex := r.request("POST", "/pay", "ka", "Content-Length: 0\r\n")
+	conn, _ := r.connect()
+	r.reply(conn, ex, ok200+"more")
+	r.wantResponse("502")
+	r.wantNone(DialBackend)
+	r.requireQuiescent()
+}
+
+// TestStreamedResponseWithTrailingBytesIsAborted guards against a client that gets the first part of a streamed response as
+// complete. The last bytes are withheld and its connection is aborted, so that it sees that the response is incomplete.
+func TestStreamedResponseWithTrailingBytesIsAborted(t *testing.T) {
+	first := strings.Repeat("x", 2000)
+	for name, parts := range map[string][2]string{
+		"length":  {"HTTP/1.1 200 OK\r\nContent-Length: 2500\r\n\r\n" + first, strings.Repeat("y", 1000)},
+		"chunked": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + first + "\r\n", "2\r\nhi\r\n0\r\n\r\nmore"},
+	} {
+		r := newHarness(t, 2, 1, "")
+		_, ex := r.request("GET", "/look", "ka", "")
+		conn, _ := r.connect()
+		reader := r.reply(conn, ex, parts[0])
+		r.want(StreamResponse)
+		response := reader.Feed([]byte(parts[1]))
+		if len(response.Bytes) > 0 {
+			t.Errorf("%s: forwarded behind the beginning: %q", name, response.Bytes)
+		}
+		r.instance.ResponseReceived(r.now, conn, &response)
+		if r.want(AbortClient).Exchange != ex {
+			t.Errorf("%s: the client of another exchange is aborted", name)
+		}
+		if r.want(CloseBackend).Conn != conn {
+			t.Errorf("%s: the connection is not closed", name)
+		}
+		r.wantNone(Respond)
+		r.requireQuiescent()
+	}
 }
--- a/proxy/responsereader.go
+++ b/proxy/responsereader.go
@@ -32,7 +32,23 @@
 	// CloseAfterResponse means in Complete that Bytes announce that the client's connection will be closed, and in Started
 	// that the body is delimited by the end of the client's connection.
 	CloseAfterResponse bool
+	TrailingBytes      bool // Malformed: more bytes were received after its end
 	protocol.ResponseReport
+
+	bodiless bool // Complete: it has no body, by its status or the request's method
+}
+
+// WithTrailingBytes returns the result for a Complete or Ended response after whose end more bytes were received before it was
+// forwarded. Either its stated length is too short, and what was parsed is a part of it, or it is one of two responses, and
+// which of them belongs to the request is unknown. It is Malformed: a client must not get the wrong body as a complete one.
+//
+// A response without a body, such as to HEAD, can't be cut off. It is forwarded, and only its connection is not reused.
+func (response Response) WithTrailingBytes() Response {
+	if response.bodiless {
+		response.ReuseConn = false
+		return response
+	}
+	return Response{Kind: Malformed, TrailingBytes: true}
 }
 
 // ResponseReader is the codec of a connection to a backend: it parses responses and renders them for the waiting client. It
@@ -63,7 +79,8 @@
 	r.parser.Expect(ex.Method)
 }
 
-// Feed consumes all of in and returns the result. Bytes that arrive while no response is expected are Malformed.
+// Feed consumes all of in and returns the result. Bytes that arrive while no response is expected are Malformed, and so is a
+// response that bytes follow (see WithTrailingBytes).
 func (r *ResponseReader) Feed(in []byte) Response {
 	if r.exchange == nil {
 		if len(in) == 0 {
@@ -99,8 +116,11 @@
 				r.body = append(r.body, part.Data...)
 			}
 		case http1.End:
-			reuse := !r.head.Close && len(in) == 0 // what follows the end of a response belongs to no request
-			return r.finish(out, part.Trailers, reuse)
+			response := r.finish(out, part.Trailers, !r.head.Close)
+			if len(in) > 0 {
+				return response.WithTrailingBytes()
+			}
+			return response
 		}
 	}
 }
@@ -203,6 +223,7 @@
 		response = r.newResponse(Complete)
 		response.CloseAfterResponse = r.exchange.CloseAfterResponse || r.shared.closesAfterResponse()
 		response.Bytes = r.renderComplete(trailers, response.CloseAfterResponse)
+		response.bodiless = r.head.IsBodiless(r.exchange.Method)
 		r.body = nil
 	}
 	response.ReuseConn = reuse
