Bytes that follow a response are found up to the moment it is forwarded

Callers saw: the same half of a body as a complete 200, or a streamed response that ended as complete, where the rest came in a read of its own: behind a full read buffer, or in another write of the backend while the event loop was busy.

Cause: only the read that had the end of a response was looked at. What the next read brought closed the connection, while the event loop, which had not forwarded the response yet, did so.

Change: the event loop asks right before it forwards a buffered response whether more bytes have been read or lie unread; the reader asks the same before the end of a streamed one. The end of the connection is no such byte. What comes after a response was forwarded can't be told without waiting behind each one; the connection is closed and counted as before.

TestEndOfConnectionIsNoTrailingByte keeps responses of backends that close.

--- a/internal/server/backendconn.go
+++ b/internal/server/backendconn.go
@@ -121,6 +121,9 @@
 	default:
 		response = bc.responses.ConnectionLost()
 	}
+	if response.Kind == proxy.Ended && hasUnreadBytes(bc.socket) { // its last bytes are not forwarded yet
+		response = response.WithTrailingBytes()
+	}
 	switch response.Kind {
 	case proxy.Complete, proxy.Ended, proxy.Malformed:
 		bc.exchange = nil
@@ -131,6 +134,15 @@
 	return response
 }
 
+// hasTrailingBytes reports whether more bytes have arrived since the last response was parsed. Only the event loop calls it,
+// right before the response is forwarded; it does not wait.
+func (bc *backendConn) hasTrailingBytes() bool {
+	bc.mu.Lock()
+	defer bc.mu.Unlock()
+	bc.trailing = bc.trailing || hasUnreadBytes(bc.socket)
+	return bc.trailing
+}
+
 // recordTrailingBytes records that the connection has ended after bytes that belong to no response, if so.
 func (bc *backendConn) recordTrailingBytes() {
 	bc.mu.Lock()
--- a/internal/server/discovery_test.go
+++ b/internal/server/discovery_test.go
@@ -125,6 +125,30 @@
 	}
 }
 
+// TestCutListIsNotTaken checks that an endpoint list that is cut by the length of discovery's answer is not taken, although bytes follow
+// it: endpoints that it had lost would count as removed.
+func TestCutListIsNotTaken(t *testing.T) {
+	backend := startNamedBackend(t, "b")
+	list := func(seq int) string {
+		return fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[{"host":"b","dial":"%s","health":"active","share":1}]}`, seq, backend)
+	}
+	counterAddr, _ := startCounter(t)
+	discovery := startAgent(t, func(call int, c net.Conn, _ string) {
+		if call == 1 {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list(8))-2, list(8))
+			return
+		}
+		io.WriteString(c, watchHead)
+		writeChunk(c, list(9))
+	})
+	r := startNode(t, discovery, counterAddr, 64, startNamedBackend(t, "old"))
+	r.waitForLog("seq=9")
+	r.requireServedBy(1, "b")
+	if s := r.log.String(); strings.Contains(s, "seq=8") {
+		t.Errorf("the list was taken: %s", s)
+	}
+}
+
 // TestEndpointListVersions checks that changes up to an older version are dropped, that changes up to the same version are applied
 // again, and that a full list is applied whatever its version. A new watch continues from the current version.
 func TestEndpointListVersions(t *testing.T) {
--- a/internal/server/message.go
+++ b/internal/server/message.go
@@ -61,6 +61,9 @@
 }
 
 func (m *responseReceived) apply(s *Server, now time.Duration) {
+	if m.response.Kind == proxy.Complete && m.conn.Owner.(*backendConn).hasTrailingBytes() {
+		m.response = m.response.WithTrailingBytes()
+	}
 	s.instance.ResponseReceived(now, m.conn, &m.response)
 }
 
--- a/internal/server/trailingbytes_test.go
+++ b/internal/server/trailingbytes_test.go
@@ -6,8 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"sandyard/proxy"
 )
 
 // wholeBody is the body that startShortBackend makes for each request.
@@ -58,3 +62,96 @@
 	r.requireWholeBody()
 	r.waitForLog("bytes behind an answer")
 }
+
+// TestPartOfResponseIsNotServedAfterNextRead guards against the same where the rest comes in the next read, after the response was
+// parsed and before the event loop forwards it.
+func TestPartOfResponseIsNotServedAfterNextRead(t *testing.T) {
+	got, rest := make(chan struct{}), make(chan struct{})
+	r := startGateway(t, "", "", startShortBackend(t, got, rest))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.requireWholeBody()
+	}()
+	<-got
+	release := r.hold()
+	rest <- struct{}{}
+	waitQueued[*responseReceived](r)
+	rest <- struct{}{}
+	waitQueued[backendDisconnected](r)
+	release()
+	<-done
+	r.waitForLog("bytes behind an answer")
+}
+
+// TestUnreadBytesFailResponse guards against the same where the rest is still unread when the event loop forwards the response.
+func TestUnreadBytesFailResponse(t *testing.T) {
+	bc, peer, s := newTestBackendConn(t)
+	bc.write(&proxy.Exchange{Method: "GET"}, []byte("GET / HTTP/1.1\r\n\r\n"))
+	io.WriteString(peer, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n01234")
+	if !bc.readOnce(bc.socket) || len(s.queue) != 1 || bc.hasTrailingBytes() {
+		t.Fatalf("the response is not complete: %+v", s.queue)
+	}
+	io.WriteString(peer, "56789")
+	waitReadable(t, bc.socket)
+	if !bc.hasTrailingBytes() {
+		t.Error("the rest is not found")
+	}
+}
+
+// TestEndOfConnectionIsNoTrailingByte checks that a backend that closes its connection after a response has sent all of it.
+func TestEndOfConnectionIsNoTrailingByte(t *testing.T) {
+	bc, peer, _ := newTestBackendConn(t)
+	bc.write(&proxy.Exchange{Method: "GET"}, []byte("GET / HTTP/1.1\r\n\r\n"))
+	io.WriteString(peer, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n01234")
+	bc.readOnce(bc.socket)
+	peer.Close()
+	waitReadable(t, bc.socket)
+	if bc.hasTrailingBytes() {
+		t.Error("the end of the connection counts as a byte")
+	}
+	if bc.readOnce(bc.socket) || bc.hasTrailingBytes() {
+		t.Error("the end of the connection counts as a byte once it is read")
+	}
+}
+
+// TestStreamWithUnreadBytesIsAborted guards against a streamed response that is cut by its stated length and ended as complete: its
+// last bytes fill a read, and the rest is in the next one.
+func TestStreamWithUnreadBytesIsAborted(t *testing.T) {
+	const begin = "hi"
+	got, more := make(chan struct{}), make(chan struct{})
+	backend := startScriptedPeer(t, func(c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		close(got)
+		<-more
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(begin)+readSize, begin)
+		<-more
+		io.WriteString(c, strings.Repeat("x", readSize)+"more")
+		<-more
+		io.Copy(io.Discard, in)
+	})
+	r := startGateway(t, "", "", backend)
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(orderTimeout))
+	io.WriteString(c, request("GET", "/feed", "ka", ""))
+	<-got
+	release := r.hold()
+	more <- struct{}{}
+	waitQueued[*responseReceived](r) // the connection is not read until the event loop permits the stream
+	more <- struct{}{}
+	more <- struct{}{}
+	release()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(response.Body); err == nil {
+		t.Errorf("the client got %d bytes as a complete response", len(body))
+	}
+}
