A request whose body is longer than its stated length is rejected, not cut

Callers saw: a client that stated a length shorter than its body got 200 for the first part of it, which a backend had run, and then 400 for the rest. Found by asking of each path what bytes behind the end do there; no client had reported it.

Cause: as with responses, a request ended where its head says, and what followed was kept as the next request, to be looked at once the first was answered.

Change: bytes behind a body that can't begin another request (http1.MayBeginRequest) show that its length does not fit. If they come with it, it is answered 400 and nothing is sent. If they come while its response is awaited, it is answered 400 as one that may have run, and no further attempt begins. The connection closes. It works since a request line is told from most other text by its first byte. A rest that reads like a request is still taken for one, since pipelining is allowed; a request without a body is served whatever follows. The 504 of a late instance's connection goes by the same function.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -84,10 +84,8 @@
 	if err := h.parseVersion(version); err != nil {
 		return err
 	}
-	for i := 0; i < len(target); i++ {
-		if c := target[i]; c <= ' ' || c >= del {
-			return badRequest("a byte in the target that no URI has")
-		}
+	if !isTargetForm(target) {
+		return badRequest("a byte in the target that no URI has")
 	}
 	h.Method = method
 	h.Target = target
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -44,6 +44,8 @@
 	head             *http1.Head
 	body             []byte // its capacity is reserved in Shared.ReservedBytes
 	trailers         []http1.Field
+	hasStatedBody    bool           // its head states where its body ends
+	responseBegun    bool           // a part of its response was sent
 	bytesToSkip      int64          // in phaseSkipBody: how many more bytes of the body are read and discarded
 	localResponse    *localResponse // response without a decision; nil: none
 	responseDeadline time.Duration  // in phaseAwaitResponse: when the connection answers in place of the instance; 0: never
@@ -152,6 +154,7 @@
 			c.readAheadSince = receivedAt
 		}
 		c.storeReadAhead(b)
+		c.rejectExcessBody(now)
 		return nil
 	}
 	if len(c.readAhead) > 0 { // the owner has not called Resume yet, and earlier bytes must be parsed first
--- a/proxy/clientconn_test.go
+++ b/proxy/clientconn_test.go
@@ -293,3 +293,61 @@
 		t.Fatalf("%+v %s", ex, c.Outgoing)
 	}
 }
+
+// excessBodies are rests of bodies that can't begin a request.
+var excessBodies = []string{"56789", `"}`, "\x00", "xxxxxxxxxxxxxxxxxxxx", "A WORD OF TEXT\r\n", "GET", "\r\n\r\n"}
+
+// TestCutRequestIsRejected guards against half of a request that takes effect: the client states a part of its body's length, and
+// the rest of the body arrives with it.
+func TestCutRequestIsRejected(t *testing.T) {
+	r := newHarness(t, 1, 1, "")
+	for _, excess := range excessBodies {
+		c := r.newClientConn()
+		ex := c.Feed(r.now, append(requestText("POST", "/pay", "ka", "Content-Length: 5\r\n"), "01234"+excess...))
+		if excess == "GET" { // it may begin a request
+			if ex == nil {
+				t.Errorf("%q: %q", excess, c.Outgoing)
+			}
+			continue
+		}
+		if closes, _ := c.Closing(); ex != nil || !closes || !strings.HasPrefix(string(c.Outgoing), "HTTP/1.1 400") {
+			t.Errorf("%q: exchange %v, closes %v, %q", excess, ex != nil, closes, c.Outgoing)
+		}
+	}
+}
+
+// TestCutRequestIsRejectedAfterNextRead guards against the same where the rest arrives while the response is awaited: the client must
+// not get the response to a part of its request as if it were that to all of it.
+func TestCutRequestIsRejectedAfterNextRead(t *testing.T) {
+	r := newHarness(t, 1, 1, "")
+	c := r.newClientConn()
+	ex := c.Feed(r.now, append(requestText("POST", "/pay", "ka", "Content-Length: 5\r\n"), "01234"...))
+	if ex == nil {
+		t.Fatalf("no exchange: %q", c.Outgoing)
+	}
+	c.Feed(r.now, []byte("56789"))
+	if closes, _ := c.Closing(); !closes || !strings.HasPrefix(string(c.Outgoing), "HTTP/1.1 400") {
+		t.Errorf("closes %v, %q", closes, c.Outgoing)
+	}
+	if !ex.clientDone.Load() || c.Respond(r.now, ex, []byte(ok200), false) {
+		t.Error("the instance's answer is still awaited")
+	}
+}
+
+// TestPipelinedRequestAfterBodyIsServed checks that a request behind a body is served, wherever it is split.
+func TestPipelinedRequestAfterBodyIsServed(t *testing.T) {
+	first := append(requestText("POST", "/look", "ka", "Content-Length: 5\r\n"), "01234"...)
+	next := append([]byte("\r\n"), requestText("GET", "/look", "ka", "")...)
+	for split := range len(next) {
+		r := newHarness(t, 1, 1, "")
+		c := r.newClientConn()
+		ex := c.Feed(r.now, append(first[:len(first):len(first)], next[:split]...))
+		if ex == nil {
+			t.Fatalf("split at %d: %q", split, c.Outgoing)
+		}
+		c.Feed(r.now, next[split:])
+		if !c.Respond(r.now, ex, []byte(ok200), false) || c.Resume(r.now) == nil {
+			t.Errorf("split at %d: %q", split, c.Outgoing)
+		}
+	}
+}
--- a/proxy/clientrequest.go
+++ b/proxy/clientrequest.go
@@ -38,6 +38,10 @@
 			c.handleBody(now, part.Data)
 		case http1.End:
 			c.trailers = part.Trailers
+			if c.localResponse == nil && c.isExcessBody(b) {
+				c.rejectMalformed(now, http1.ErrExcessBody)
+				return nil
+			}
 			if ex := c.handleRequestEnd(now); ex != nil {
 				c.readAheadSince = c.receivedAt
 				c.storeReadAhead(b)
@@ -52,6 +56,8 @@
 // skipped, or the connection closed if the body is large or the client waits for 100 (Continue) before it sends the body.
 func (c *ClientConn) handleHead(now time.Duration, h *http1.Head) {
 	c.phase, c.phaseSince, c.head = phaseBody, now, h
+	_, hasLength := h.Get("Content-Length")
+	c.hasStatedBody = hasLength || h.Length != 0
 	c.exchange = &Exchange{Owner: c.owner, Method: h.Method, MinorVersion: h.Minor, CloseAfterResponse: h.Close}
 	if response := c.identifyRequest(h); response != nil {
 		c.setLocalResponse(*response, false)
@@ -139,6 +145,23 @@
 	return ex
 }
 
+// isExcessBody reports whether bytes after the current request show that its body is longer than its head states: they can't begin
+// another request. A request that was cut off must not take effect.
+func (c *ClientConn) isExcessBody(following []byte) bool {
+	return c.hasStatedBody && len(following) > 0 && !http1.MayBeginRequest(following)
+}
+
+// rejectExcessBody answers the current request with 400 if bytes that arrived after it was passed to the instance show that its
+// body is longer than its head states. It may have run; a later answer by the instance is dropped.
+func (c *ClientConn) rejectExcessBody(now time.Duration) {
+	if c.responseBegun || !c.isExcessBody(c.readAhead) {
+		return
+	}
+	response := malformedResponse(http1.ErrExcessBody)
+	response.RetryIsSafe = false
+	c.respondInPlaceOfInstance(now, &response, true)
+}
+
 // identifyRequest sets the exchange's RequestInfo. It returns a local response if the request needs no decision.
 func (c *ClientConn) identifyRequest(h *http1.Head) *localResponse {
 	if c.shared.Draining() {
--- a/proxy/clientresponse.go
+++ b/proxy/clientresponse.go
@@ -39,6 +39,7 @@
 	c.Outgoing = append(c.Outgoing, b...)
 	c.closeAfterResponse = c.closeAfterResponse || closeAfterResponse
 	c.responseDeadline = 0
+	c.responseBegun = true
 	return true
 }
 
@@ -53,14 +54,19 @@
 	}
 }
 
-// respondForLateInstance answers the current exchange with 504 because the instance's answer is late. A later answer by the
-// instance is dropped, and no further attempt starts.
+// respondForLateInstance answers the current exchange with 504 because the instance's answer is late.
 func (c *ClientConn) respondForLateInstance(now time.Duration) {
+	c.respondInPlaceOfInstance(now, &deadlineExceeded, false)
+}
+
+// respondInPlaceOfInstance answers the current exchange with a local response, and closes the connection after it if closes is set.
+// A later answer by the instance is dropped, and no further attempt starts.
+func (c *ClientConn) respondInPlaceOfInstance(now time.Duration, response *localResponse, closes bool) {
 	ex := c.exchange
 	ex.clientDone.Store(true)
-	closeAfterResponse := ex.CloseAfterResponse || c.shared.closesAfterResponse()
-	rendered := c.shared.appendLocalResponse(nil, &deadlineExceeded, ex.Method, ex.MinorVersion, closeAfterResponse, 0)
-	c.LocalStatuses = append(c.LocalStatuses, deadlineExceeded.Status)
+	closeAfterResponse := closes || ex.CloseAfterResponse || c.shared.closesAfterResponse()
+	rendered := c.shared.appendLocalResponse(nil, response, ex.Method, ex.MinorVersion, closeAfterResponse, 0)
+	c.LocalStatuses = append(c.LocalStatuses, response.Status)
 	c.Respond(now, ex, rendered, closeAfterResponse)
 }
 
@@ -101,7 +107,7 @@
 // finishResponse ends the exchange. The connection continues with the next request or closes.
 func (c *ClientConn) finishResponse(now time.Duration) {
 	ex := c.exchange
-	c.exchange, c.phase, c.phaseSince = nil, phaseIdle, now
+	c.exchange, c.phase, c.phaseSince, c.responseBegun = nil, phaseIdle, now, false
 	if ex.CloseAfterResponse || c.closeAfterResponse || c.readAheadOverflowed && len(c.readAhead) == 0 {
 		c.linger = true
 		c.close()
@@ -111,6 +117,11 @@
 // rejectMalformed answers bytes that are not a request and closes the connection, because the start of the next request is
 // unknown.
 func (c *ClientConn) rejectMalformed(now time.Duration, err error) {
+	c.rejectAndClose(now, malformedResponse(err))
+}
+
+// malformedResponse returns the response to a request that can't be parsed.
+func malformedResponse(err error) localResponse {
 	response := malformedRequest
 	var e *http1.Error
 	if errors.As(err, &e) {
@@ -119,7 +130,7 @@
 			response.Kind, response.Title = "unsupported", http1.StatusText(e.Status)
 		}
 	}
-	c.rejectAndClose(now, response)
+	return response
 }
 
 // rejectAndClose sends a local response at once and closes the connection after it.
