Emulated backends can state half of their length, and simulated clients check for it

Need: no emulator sent a response whose stated length does not fit, so neither the simulator nor the drill could find that a part of a response was served as complete; a review did.

The simulator's clients report a 200 of a backend that has not all of its body.

--- a/emulator/backend_test.go
+++ b/emulator/backend_test.go
@@ -90,6 +90,10 @@
 	if b, c := feed(fault.ServerErrors, 1); !strings.HasPrefix(string(c.Out), "HTTP/1.1 500") || b.count(RequestExecuted) != 0 {
 		t.Error("fault: the request was executed, or its response is not 500")
 	}
+	if b, c := feed(fault.ShortLength, 0); !strings.HasPrefix(string(c.Out), "HTTP/1.1 200") || !strings.Contains(string(c.Out), "Content-Length: 32\r\n") || !strings.HasSuffix(string(c.Out), string(bodyFiller[:64])) ||
+		b.count(RequestExecuted) != 1 {
+		t.Errorf("short: the request was not executed, or its response is not one that states half of its length: %q", c.Out)
+	}
 	b, c := feed(fault.Hang, 0)
 	b.Set(10*time.Second, fault.Hang, 0, false)
 	b.Advance(10*time.Second, func(*Job) {})
--- a/emulator/backendconn.go
+++ b/emulator/backendconn.go
@@ -162,7 +162,7 @@
 	if id, ok := c.head.Get("X-Request-Id"); ok {
 		out = http1.AppendField(out, "X-Answers", id)
 	}
-	out = http1.AppendLength(out, int64(c.backend.config.BodySize))
+	out = http1.AppendLength(out, c.statedLength())
 	if c.head.Close {
 		c.Close = true
 		out = append(out, "Connection: close\r\n"...)
@@ -170,6 +170,15 @@
 	c.Out = append(out, '\r', '\n')
 }
 
+// statedLength returns the length of a response's body (bytes) as its head states it.
+func (c *BackendConn) statedLength() int64 {
+	length := int64(c.backend.config.BodySize)
+	if c.backend.hasFault(fault.ShortLength) {
+		length /= 2
+	}
+	return length
+}
+
 func (c *BackendConn) writeBody() {
 	for size := c.backend.config.BodySize; size > 0; {
 		n := min(size, len(bodyFiller))
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -31,6 +31,8 @@
 	Refuse Verb = "refuse"
 	// ExtraResponse sends an unsolicited response after each response.
 	ExtraResponse Verb = "trail"
+	// ShortLength states half of the body's length in each response. The body follows whole.
+	ShortLength Verb = "short"
 	// FalseReports multiplies the values of load reports by value. With a negative value the reports are impossible.
 	FalseReports Verb = "lie"
 	// Stall stops all processing, which resumes where it stopped when the fault ends. It also applies to the counter.
@@ -115,8 +117,8 @@
 )
 
 // verbs lists all verbs, in the order used in error messages.
-var verbs = []Verb{Slow, Hang, ResetResponse, DropResponse, ServerErrors, Refuse, ExtraResponse, FalseReports, Stall, NoReply, Delay, ResetTotals,
-	Rollback, PartialOutage, Split, Kill, Drain, Replace, Vanish, Surge, MoveTraffic, ClientsAbort, SlowClients, InvalidRequests, Partition,
+var verbs = []Verb{Slow, Hang, ResetResponse, DropResponse, ServerErrors, Refuse, ExtraResponse, ShortLength, FalseReports, Stall, NoReply, Delay,
+	ResetTotals, Rollback, PartialOutage, Split, Kill, Drain, Replace, Vanish, Surge, MoveTraffic, ClientsAbort, SlowClients, InvalidRequests, Partition,
 	OneWayPartition, AddedLatency, Throttle, NotAccepting, Pause, DescriptorLimit, TornEndpointFile, InvalidReplies}
 
 // verbsWithValue lists the verbs that need a value.
--- a/internal/simulation/client.go
+++ b/internal/simulation/client.go
@@ -59,6 +59,7 @@
 	awaiting        []*clientRequest
 	head            *http1.Head
 	responseStarted bool // for the first request in awaiting
+	bodySize        int  // bytes of its body that were received
 	done            bool
 	misbehaving     bool
 	acceptedAt      time.Duration // when the connection was established
@@ -175,8 +176,10 @@
 		return n, false
 	case http1.HeadEnd:
 		if part.Head.Status >= 200 {
-			c.head, c.responseStarted = part.Head, true
+			c.head, c.bodySize, c.responseStarted = part.Head, 0, true
 		}
+	case http1.Data:
+		c.bodySize += len(part.Data)
 	case http1.End:
 		c.responseStarted = false
 		c.awaiting = c.awaiting[1:]
@@ -189,13 +192,28 @@
 	return n, true
 }
 
+// checkResponse reports a violation if a complete response belongs to another request, or is only a part of its own.
+func (c *clientConn) checkResponse(r *clientRequest) {
+	s, h := c.pool.sim, c.head
+	id, fromBackend := h.Get("X-Answers")
+	if !fromBackend {
+		return
+	}
+	if id != r.ID {
+		s.report(RuleOwnResponse, fmt.Sprintf("%s received the response to %s", r.ID, id))
+		return
+	}
+	method, whole := s.config.Routes.Operations[r.operation].Method, s.script.Backends.Body
+	if h.Status == 200 && !h.IsBodiless(method) && c.bodySize != whole {
+		s.report(RuleOwnResponse, fmt.Sprintf("%s received %d bytes of %d as a complete response", r.ID, c.bodySize, whole))
+	}
+}
+
 // finishResponse handles a complete response.
 func (c *clientConn) finishResponse(r *clientRequest) {
 	s, h := c.pool.sim, c.head
 	s.countReached("status " + strconv.Itoa(h.Status))
-	if id, ok := h.Get("X-Answers"); ok && id != r.ID {
-		s.report(RuleOwnResponse, fmt.Sprintf("%s received the response to %s", r.ID, id))
-	}
+	c.checkResponse(r)
 	r.status = h.Status
 	e := invariant.Failed
 	switch {
