The drill's list of faults is wrapped

Need: the line of the faults that can be injected into real processes had grown to 190 characters. Change: one list over several lines; no other change.

--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -20,8 +20,11 @@
 )
 
 // supportedVerbs are the faults that can be injected into real processes.
-var supportedVerbs = []fault.Verb{fault.Slow, fault.Hang, fault.ResetResponse, fault.DropResponse, fault.ServerErrors, fault.Refuse, fault.ExtraResponse, fault.ShortLength, fault.FalseReports,
-	fault.Stall, fault.NoReply, fault.Delay, fault.ResetTotals, fault.Kill, fault.Drain, fault.Replace, fault.Vanish, fault.Surge, fault.MoveTraffic}
+var supportedVerbs = []fault.Verb{
+	fault.Slow, fault.Hang, fault.ResetResponse, fault.DropResponse, fault.ServerErrors, fault.Refuse,
+	fault.ExtraResponse, fault.ShortLength, fault.FalseReports, fault.Stall, fault.NoReply, fault.Delay,
+	fault.ResetTotals, fault.Kill, fault.Drain, fault.Replace, fault.Vanish, fault.Surge, fault.MoveTraffic,
+}
 
 // injectFault executes one event of the script.
 func (d *Drill) injectFault(ctx context.Context, e fault.Event) error {
