Tests that need a connection in the backlog can't hang any more

Cause: dialIntoBacklog locked the event loop's queue while the accept loop could still be ahead of waitForQueueSpace. The loop then waited for that lock with the first connection unaccepted, and clientConnOf waited for the connection without limit.

Change: the tests dial, wait until the accept loop is in waitForQueueSpace, whose lock they hold, and dial again. Whether the loop has accepted the first connection or not, the second one is in the backlog until the lock is released, as before; the checks of the tests are unchanged.

--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -13,14 +13,24 @@
 	"time"
 )
 
-// dialIntoBacklog locks queueMu and opens a connection that stays in the backlog until queueMu is unlocked.
+// dialIntoBacklog locks queueMu and opens a connection that stays in the backlog until queueMu is unlocked. Before that it waits
+// until the accept loop waits for queueMu, since a loop that has not come there yet could still accept a connection.
 func (r *serverRig) dialIntoBacklog() net.Conn {
 	r.Helper()
-	r.server.queueMu.Lock() // the accept loop waits for it once it has accepted the first connection
-	r.clientConnOf(r.dial())
+	r.server.queueMu.Lock()
+	r.dial() // ends an accept call in progress; if there is none, it stays in the backlog, too
+	for !strings.Contains(stacksOfAllGoroutines(), ".(*Server).waitForQueueSpace(") {
+		time.Sleep(time.Millisecond)
+	}
 	return r.dial()
 }
 
+// stacksOfAllGoroutines returns the stack traces of all goroutines.
+func stacksOfAllGoroutines() string {
+	stacks := make([]byte, 1<<20)
+	return string(stacks[:runtime.Stack(stacks, true)])
+}
+
 // dial opens a connection that is closed at the end of the test.
 func (r *serverRig) dial() net.Conn {
 	r.Helper()
