Requests of less than one unit get 400 instead of being served

Callers saw: a request with units between 0 and 1 was served with 200 and drew next to nothing from the customer's quota.

Cause: parseTerm accepted any number above 0 up to the settings' maximum, also in hexadecimal. The settings have no minimum; a request counts 1 unit or more. Evidence: ParseRequest alone accepts 0.5, 0.01, 1e-9 and 0x1p1.

Change: units below minUnits, or not written as a decimal number, get 400.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -133,6 +133,26 @@
 	}
 }
 
+// TestUnitsOutOfRangeAreRejected guards against bad clients that are served for next to nothing: a request of less than one unit, or
+// whose units are no decimal number, must get 400, and both bounds of the range must be accepted.
+func TestUnitsOutOfRangeAreRejected(t *testing.T) {
+	n := newNode(t)
+	accepts := func(units string) bool {
+		var info protocol.RequestInfo
+		return n.ParseRequest(parseHead(t, strings.Replace(getRequest, "units=2", "units="+units, 1)), &info) == nil
+	}
+	for _, units := range []string{"0", "-0", "1e-9", "0.01", "0.5", "0.9999", "6.0001", "7", "1e9", "1e999", "-1", "NaN", "Inf", "many", "0x2", "0x1p1", "", "1..2"} {
+		if accepts(units) {
+			t.Errorf("units=%s is accepted", units)
+		}
+	}
+	for _, units := range []string{"1", "1.0", "2.5", "6"} {
+		if !accepts(units) {
+			t.Errorf("units=%s is rejected", units)
+		}
+	}
+}
+
 // TestOutcomesAndLoadReportsAreParsed checks that a request counts as not run only if the backend says so: if an error
 // without X-Not-Run counted as a rejection, the request would be retried and could take effect twice. Values that can't be
 // parsed are missing, not zero.
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -17,6 +17,7 @@
 	requestIDDigits = 16       // hex digits of X-Request-Id
 	customerDigits  = 16       // hex digits of a customer's number
 	maxCustomer     = 1 << 33  // exclusive upper bound of customers' numbers
+	minUnits        = 1        // units of the smallest request; the settings have the largest
 )
 
 // Responses that the instance sends by itself. Their kinds and texts are part of the protocol.
@@ -225,8 +226,8 @@
 func (n *Node) parseTerm(name, value string, info *protocol.RequestInfo) (t termSet, ok bool) {
 	switch name {
 	case "units":
-		units, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(units > 0) || units > n.Config.Settings.MaxUnits {
+		units, ok := parseDecimal(value)
+		if !ok || units < minUnits || units > n.Config.Settings.MaxUnits {
 			return 0, false
 		}
 		info.Units, t = units, termUnits
@@ -246,6 +247,16 @@
 	return t, true
 }
 
+// parseDecimal parses a finite decimal number. It rejects the other forms that strconv accepts: hexadecimal numbers, infinities
+// and NaN.
+func parseDecimal(text string) (number float64, ok bool) {
+	if strings.Trim(text, "0123456789.eE+-") != "" {
+		return 0, false
+	}
+	number, err := strconv.ParseFloat(text, 64)
+	return number, err == nil
+}
+
 // RenderRequest appends a request for backends to b, with only the fields that the protocol forwards. It returns the offset
 // of the empty line that ends the head, where RenderAttempt adds the field that differs between attempts.
 func (n *Node) RenderRequest(b []byte, h *http1.Head, body []byte, _ []http1.Field, _ string) ([]byte, int) {
