A request whose body goes on in capitals is held until a request line follows

Callers saw: a request with a length a few bytes short was run at a backend without its end and got 200, if the rest was in capitals.

Cause: MayBeginRequest took any beginning of a method for a request. Whether "TX" begins a request line is known only at its end.

--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -15,6 +15,7 @@
 	phaseHead                       // reading the head of a request
 	phaseBody                       // reading the body of a request
 	phaseSkipBody                   // discarding the body of a request that gets a local response
+	phaseCheckEnd                   // the request is complete, unless the bytes behind its body turn out to be a part of it
 	phaseAwaitResponse              // the request is complete, and its response is awaited or being sent
 	phaseClosing                    // no more requests are read
 )
@@ -46,6 +47,7 @@
 	trailers         []http1.Field
 	hasStatedBody    bool           // its head states where its body ends
 	responseBegun    bool           // a part of its response was sent
+	heldResponse     *heldResponse  // its response, until it is known what the bytes behind its body are; nil: none
 	bytesToSkip      int64          // in phaseSkipBody: how many more bytes of the body are read and discarded
 	localResponse    *localResponse // response without a decision; nil: none
 	responseDeadline time.Duration  // in phaseAwaitResponse: when the connection answers in place of the instance; 0: never
@@ -111,6 +113,8 @@
 		deadline = c.phaseSince + time.Duration(limits.HeadTimeout)
 	case phaseBody, phaseSkipBody:
 		deadline = c.phaseSince + time.Duration(limits.BodyTimeout)
+	case phaseCheckEnd:
+		deadline = c.followingRequestDeadline()
 	case phaseAwaitResponse:
 		return c.responseDeadline
 	default:
@@ -124,14 +128,21 @@
 
 // DeadlinePassed has no effect before the deadline. After it, a client that awaits a response gets 504, and its connection
 // can be used for further requests unless the response closes it. Any other connection is closed; a client that was sending
-// a request gets 408.
+// a request gets 408, or 400 if what it sent behind a body has not become a request line.
 func (c *ClientConn) DeadlinePassed(now time.Duration) {
 	if deadline := c.Deadline(); deadline == 0 || now < deadline {
 		return
 	}
-	if c.phase == phaseAwaitResponse {
+	switch {
+	case c.heldResponse != nil:
+		c.respondToExcessBody(now)
+		return
+	case c.phase == phaseAwaitResponse:
 		c.respondForLateInstance(now)
 		return
+	case c.phase == phaseCheckEnd:
+		c.rejectMalformed(now, http1.ErrExcessBody)
+		return
 	}
 	if c.phase == phaseHead || c.phase == phaseBody || c.phase == phaseSkipBody {
 		c.setLocalResponse(requestTimeout, true)
@@ -154,9 +165,13 @@
 			c.readAheadSince = receivedAt
 		}
 		c.storeReadAhead(b)
-		c.rejectExcessBody(now)
+		c.checkReadAhead(now)
 		return nil
 	}
+	if c.phase == phaseCheckEnd {
+		c.storeReadAhead(b)
+		return c.resumeRequestEnd(now)
+	}
 	if len(c.readAhead) > 0 { // the owner has not called Resume yet, and earlier bytes must be parsed first
 		c.storeReadAhead(b)
 		return c.Resume(now)
@@ -168,7 +183,7 @@
 // Resume parses the bytes that were buffered while a response was awaited. The owner calls it after each response until it
 // returns nil.
 func (c *ClientConn) Resume(now time.Duration) *Exchange {
-	if c.phase == phaseAwaitResponse || len(c.readAhead) == 0 {
+	if c.phase == phaseAwaitResponse || c.phase == phaseCheckEnd || len(c.readAhead) == 0 {
 		return nil
 	}
 	b := c.readAhead
@@ -199,7 +214,7 @@
 
 // close ends the connection: nothing more is parsed, and reserved memory is released.
 func (c *ClientConn) close() {
-	c.phase, c.exchange = phaseClosing, nil
+	c.phase, c.exchange, c.heldResponse = phaseClosing, nil, nil
 	c.dropReadAhead()
 	c.releaseBody()
 }
--- a/proxy/clientrequest.go
+++ b/proxy/clientrequest.go
@@ -38,13 +38,7 @@
 			c.handleBody(now, part.Data)
 		case http1.End:
 			c.trailers = part.Trailers
-			if c.localResponse == nil && c.isExcessBody(b) {
-				c.rejectMalformed(now, http1.ErrExcessBody)
-				return nil
-			}
-			if ex := c.handleRequestEnd(now); ex != nil {
-				c.readAheadSince = c.receivedAt
-				c.storeReadAhead(b)
+			if ex, wait := c.finishRequest(now, b); ex != nil || wait {
 				return ex
 			}
 		}
@@ -118,13 +112,8 @@
 	return true
 }
 
-// handleRequestEnd handles the end of a request. It returns the exchange for the instance, or nil if the request got a local
-// response.
-func (c *ClientConn) handleRequestEnd(now time.Duration) *Exchange {
-	if c.localResponse != nil {
-		c.sendLocalResponse(now)
-		return nil
-	}
+// createExchange returns the exchange of the complete request for the instance, or nil if the request got a local response.
+func (c *ClientConn) createExchange(now time.Duration) *Exchange {
 	ex := c.exchange
 	size := len(c.body) + addedHeadSize
 	for i := range c.head.Fields {
@@ -145,23 +134,6 @@
 	return ex
 }
 
-// isExcessBody reports whether bytes after the current request show that its body is longer than its head states: they can't begin
-// another request. A request that was cut off must not take effect.
-func (c *ClientConn) isExcessBody(following []byte) bool {
-	return c.hasStatedBody && len(following) > 0 && !http1.MayBeginRequest(following)
-}
-
-// rejectExcessBody answers the current request with 400 if bytes that arrived after it was passed to the instance show that its
-// body is longer than its head states. It may have run; a later answer by the instance is dropped.
-func (c *ClientConn) rejectExcessBody(now time.Duration) {
-	if c.responseBegun || !c.isExcessBody(c.readAhead) {
-		return
-	}
-	response := malformedResponse(http1.ErrExcessBody)
-	response.RetryIsSafe = false
-	c.respondInPlaceOfInstance(now, &response, true)
-}
-
 // identifyRequest sets the exchange's RequestInfo. It returns a local response if the request needs no decision.
 func (c *ClientConn) identifyRequest(h *http1.Head) *localResponse {
 	if c.shared.Draining() {
--- a/proxy/clientresponse.go
+++ b/proxy/clientresponse.go
@@ -16,8 +16,16 @@
 // connection either closes or continues with Resume. closeAfterResponse means that the connection closes after the response.
 //
 // Respond and the methods for streamed responses do nothing for an exchange that is not the current one; Respond then
-// reports false.
+// reports false. Respond keeps the response for a while if the bytes behind the request may be a part of its body.
 func (c *ClientConn) Respond(now time.Duration, ex *Exchange, b []byte, closeAfterResponse bool) bool {
+	if c.exchange != ex || c.phase != phaseAwaitResponse || c.heldResponse != nil {
+		return false
+	}
+	return c.holdResponse(now, b, closeAfterResponse) || c.respondNow(now, ex, b, closeAfterResponse)
+}
+
+// respondNow is Respond without a look at the bytes behind the request.
+func (c *ClientConn) respondNow(now time.Duration, ex *Exchange, b []byte, closeAfterResponse bool) bool {
 	if !c.appendResponse(ex, b, closeAfterResponse) {
 		return false
 	}
@@ -67,7 +75,7 @@
 	closeAfterResponse := closes || ex.CloseAfterResponse || c.shared.closesAfterResponse()
 	rendered := c.shared.appendLocalResponse(nil, response, ex.Method, ex.MinorVersion, closeAfterResponse, 0)
 	c.LocalStatuses = append(c.LocalStatuses, response.Status)
-	c.Respond(now, ex, rendered, closeAfterResponse)
+	c.respondNow(now, ex, rendered, closeAfterResponse)
 }
 
 // RejectOverload answers an exchange with 503 because the instance's queue is full. The exchange must not have been passed
@@ -77,7 +85,7 @@
 	ex.reservedBytes = 0
 	closeAfterResponse := ex.CloseAfterResponse || c.shared.closesAfterResponse()
 	rendered := c.shared.appendLocalResponse(nil, &queueFull, ex.Method, ex.MinorVersion, closeAfterResponse, localRetryAfter)
-	c.Respond(now, ex, rendered, closeAfterResponse)
+	c.respondNow(now, ex, rendered, closeAfterResponse)
 }
 
 // ContinueResponse appends more of a streamed response.
