A new process rejects requests until discovery answers, also in an outage

Callers saw: a process that started while discovery was down sent requests to backends that had begun to drain before its start.

Cause: after 4.6 s of silence it used the list in its configuration, which may be old; what its agent holds counts as known from its first moment. Being ready, which the platform wants within 10 s, and having a usable list were one state.

Change: requests are rejected until discovery's first answer. After 9 s without one /ready answers 200 and requests are still rejected; after 29 s the configuration's list is used. Log records for both.

Tests of internal/server, proxy and the soak's first-list scenario pass.

--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -31,13 +31,6 @@
 	minWatchBackoff = 100 * time.Millisecond
 	// maxWatchBackoff bounds the backoff, since the watch must work again a few seconds after discovery can be reached again.
 	maxWatchBackoff = time.Second
-	// firstEndpointsTimeout is how long a new instance rejects requests while it waits for its first endpoint list. After
-	// that it uses the list in its configuration. The timeout covers a first watch that stays silent and a second watch.
-	firstEndpointsTimeout = watchSilenceTimeout + minWatchBackoff + watchDialTimeout + firstAnswerTime
-	// firstAnswerTime is the time for discovery's first answer to a watch to arrive and to be handled.
-	firstAnswerTime = 500 * time.Millisecond
-	// firstEndpointsPoll is the interval of the checks, after firstEndpointsTimeout, for an unhandled answer of discovery.
-	firstEndpointsPoll = 20 * time.Millisecond
 )
 
 // maxFinalReads bounds the reads of a watch after its context has ended: enough for a message of the maximum size.
@@ -69,6 +62,8 @@
 	address        string        // host:port
 	addressChanged chan struct{} // closed and replaced when address changes
 
+	firstListTimeouts firstListTimeouts // set before run
+
 	// Used by the goroutine of the watch only.
 	version   uint64                     // of the endpoint list that was last queued for the event loop
 	endpoints map[string]config.Endpoint // that list by name, without removed endpoints
@@ -81,6 +76,8 @@
 		addressChanged: make(chan struct{}),
 		version:        version,
 		endpoints:      map[string]config.Endpoint{},
+
+		firstListTimeouts: defaultFirstListTimeouts,
 	}
 	w.readVersion.Store(version)
 	w.input.start(s.now)
@@ -101,11 +98,10 @@
 	}
 }
 
-// run watches discovery until its context ends. Requests are rejected until discovery has answered, or for
-// firstEndpointsTimeout.
+// run watches discovery until its context ends. Requests are rejected until discovery has answered (see firstListTimeouts).
 func (w *endpointWatch) run(ctx context.Context) {
-	timer := time.AfterFunc(firstEndpointsTimeout, func() { w.timeOutFirstList(ctx) })
-	defer timer.Stop()
+	stopTimers := w.startFirstListTimers(ctx)
+	defer stopTimers()
 	backoff := minWatchBackoff
 	for ctx.Err() == nil {
 		w.mu.Lock()
@@ -130,19 +126,6 @@
 	}
 }
 
-// timeOutFirstList makes the instance use the list in its configuration. Before that it waits until the watch is idle, since
-// discovery's answer may have arrived and be unread.
-func (w *endpointWatch) timeOutFirstList(ctx context.Context) {
-	for !w.input.isIdle() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(firstEndpointsPoll):
-		}
-	}
-	w.server.post(firstListTimedOut{})
-}
-
 // jitter returns a random wait between d/2 and d, so that instances that lost discovery together do not reconnect together.
 func jitter(d time.Duration) time.Duration {
 	return time.Duration((0.5 + rand.Float64()/2) * float64(d))
--- a/internal/server/discovery_test.go
+++ b/internal/server/discovery_test.go
@@ -23,6 +23,8 @@
 		silent = 6 * time.Second        // after a watch fell silent, or after discovery can be reached again
 		moved  = 4 * time.Second        // after SIGHUP
 		ready  = 10 * time.Second       // for a new process
+		failed = 30 * time.Second       // a new process that does not serve by then
+		outage = 8 * time.Second        // of discovery, while a process starts
 	)
 	for _, r := range []struct {
 		name  string
@@ -37,7 +39,9 @@
 		{"a watch opened while discovery is down that stays silent", silent, []time.Duration{watchSilenceTimeout, maxWatchBackoff, watchDialTimeout}},
 		{"SIGHUP", moved, []time.Duration{watchDialTimeout}},
 		{"SIGHUP, and the first connection is never established", moved, []time.Duration{watchDialTimeout, minWatchBackoff, watchDialTimeout}},
-		{"a new process, discovery down", ready, []time.Duration{firstEndpointsTimeout}},
+		{"a new process, discovery down: ready", ready, []time.Duration{firstListReadyTimeout}},
+		{"a new process, discovery down: the configured list", failed, []time.Duration{configuredListTimeout}},
+		{"a new process, an outage of discovery, and the watch before its end stays silent", configuredListTimeout, []time.Duration{outage, watchSilenceTimeout, maxWatchBackoff, watchDialTimeout}},
 		{"a new process, its first watch is silent", ready, []time.Duration{watchSilenceTimeout, minWatchBackoff, watchDialTimeout}},
 	} {
 		sum := margin
@@ -48,8 +52,8 @@
 			t.Errorf("%s: %v with the margin, but the change counts as known after %v", r.name, sum, r.bound)
 		}
 	}
-	if silentFirst := watchSilenceTimeout + minWatchBackoff + watchDialTimeout + margin; firstEndpointsTimeout < silentFirst {
-		t.Errorf("a new process uses its configured list after %v; the answer to its second watch may arrive after %v", firstEndpointsTimeout, silentFirst)
+	if silentFirst := watchSilenceTimeout + minWatchBackoff + watchDialTimeout + margin; firstListReadyTimeout < silentFirst {
+		t.Errorf("a new process is ready without a list after %v; the answer to its second watch may arrive after %v", firstListReadyTimeout, silentFirst)
 	}
 	if heartbeat := 2 * time.Second; watchSilenceTimeout < heartbeat+margin {
 		t.Errorf("silence timeout %v, but a watch has a heartbeat every %v", watchSilenceTimeout, heartbeat)
@@ -212,13 +216,24 @@
 
 // startNodeUnready starts an instance on the platform and does not wait until discovery has confirmed its list.
 func startNodeUnready(t *testing.T, discovery string) *serverRig {
-	n, err := platform.ParseConfig(fmt.Appendf(nil, nodeConfig, discovery, "127.0.0.1:1", 64, startNamedBackend(t, "known")))
+	r := newUnreadyRig(t)
+	r.serveUnready(discovery)
+	return r
+}
+
+// newUnreadyRig returns a rig for serveUnready.
+func newUnreadyRig(t *testing.T) *serverRig {
+	return &serverRig{T: t, log: &logBuffer{more: make(chan struct{}, 1)}, served: make(chan error, 1)}
+}
+
+// serveUnready starts an instance whose configuration lists one backend, and does not wait until it is ready.
+func (r *serverRig) serveUnready(discovery string) {
+	r.Helper()
+	n, err := platform.ParseConfig(fmt.Appendf(nil, nodeConfig, discovery, "127.0.0.1:1", 64, startNamedBackend(r.T, "known")))
 	if err != nil {
-		t.Fatal(err)
+		r.Fatal(err)
 	}
-	r := &serverRig{T: t, log: &logBuffer{more: make(chan struct{}, 1)}, served: make(chan error, 1)}
 	r.serve(n.Config, Options{Seed: n.Seed, Protocol: n, DiscoveryAddress: n.Discovery, EndpointsVersion: n.CachedEndpoints.Version})
-	return r
 }
 
 // TestNotReadyBeforeFirstEndpointList guards against requests to backends that were removed before the process started: the list
@@ -249,16 +264,29 @@
 	r.requireServedBy(2, "b")
 }
 
-// TestReadyWithoutDiscovery checks that a process that starts while discovery is down uses the list in its configuration after
-// firstEndpointsTimeout.
+// TestReadyWithoutDiscovery checks a process that starts while discovery is down: it is not ready at first, then ready while it
+// rejects requests, and uses the list in its configuration at last.
 func TestReadyWithoutDiscovery(t *testing.T) {
-	r := startNodeUnready(t, startAgent(t, func(int, net.Conn, string) {}))
+	timeouts := firstListTimeouts{ready: 500 * time.Millisecond, configuredList: 1500 * time.Millisecond}
+	r := newUnreadyRig(t)
+	r.beforeServe = func() { r.server.discovery.firstListTimeouts = timeouts }
+	r.serveUnready(startAgent(t, func(int, net.Conn, string) {}))
 	began := time.Now()
 	for r.status(readyRequest) != 200 {
 		runtime.Gosched()
 	}
-	if d := time.Since(began); d < firstEndpointsTimeout/2 {
+	if d := time.Since(began); d < timeouts.ready/2 {
 		t.Errorf("ready after %v", d)
 	}
-	r.requireServedBy(1, "known")
+	if status := r.status(nodeRequest(1)); status != 503 {
+		t.Errorf("a request without a list: %d", status)
+	}
+	r.waitForLog("no list of boxes yet: ready, and requests are refused")
+	for id := 2; r.status(nodeRequest(id)) != 200; id++ {
+		time.Sleep(time.Millisecond)
+	}
+	if d := time.Since(began); d < timeouts.configuredList*3/4 {
+		t.Errorf("the list in the configuration is used after %v", d)
+	}
+	r.requireServedBy(9999, "known")
 }
--- a/internal/server/message.go
+++ b/internal/server/message.go
@@ -136,12 +136,6 @@
 	s.shared.MarkStarted()
 }
 
-// firstListTimedOut reports that firstEndpointsTimeout has passed and no data of discovery is unhandled: the configured
-// endpoint list may be used. Until then, or until endpointsConfirmed, requests are rejected.
-type firstListTimedOut struct{}
-
-func (firstListTimedOut) apply(s *Server, _ time.Duration) { s.shared.MarkStarted() }
-
 // endpointPollFailed reports that the endpoint file could not be read.
 type endpointPollFailed struct{}
 
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -98,9 +98,9 @@
 		New:  "\tif true {\n",
 	}}}},
 	{soak.LateFirstList, answersInTime, mutation.Mutation{Name: "configured-list-at-once", Edits: []mutation.Edit{{
-		File: "internal/server/discovery.go",
-		Old:  "firstEndpointsTimeout = watchSilenceTimeout + minWatchBackoff + watchDialTimeout + firstAnswerTime",
-		New:  "firstEndpointsTimeout = 100 * time.Millisecond",
+		File: "internal/server/firstlist.go",
+		Old:  "configuredListTimeout = 29 * time.Second",
+		New:  "configuredListTimeout = 100 * time.Millisecond",
 	}}}},
 	{soak.OldFullList, anyPlan, mutation.Mutation{Name: "version-never-lowered", Edits: []mutation.Edit{{
 		File: "internal/server/discovery.go",
--- a/proxy/clientrequest.go
+++ b/proxy/clientrequest.go
@@ -140,10 +140,15 @@
 		c.exchange.CloseAfterResponse = true
 		return &shuttingDown
 	}
-	if c.shared.starting.Load() {
+	phase := c.shared.startPhase.Load()
+	if phase == waitingForEndpoints {
 		return &notReady
 	}
-	return c.shared.Protocol.ParseRequest(h, &c.exchange.RequestInfo)
+	response := c.shared.Protocol.ParseRequest(h, &c.exchange.RequestInfo)
+	if response == nil && phase == readyWithoutEndpoints {
+		return &notReady
+	}
+	return response
 }
 
 // releaseBody drops the current request's head, body and trailers, and releases the body's memory.
--- a/proxy/shared.go
+++ b/proxy/shared.go
@@ -24,7 +24,7 @@
 	ReservedBytes         atomic.Int64 // memory reserved for requests (bytes); bounded by limits.memory
 	ClientConns           atomic.Int64 // open client connections; maintained by the runtime
 	expectedTimerDelay    atomic.Int64 // a time.Duration
-	starting              atomic.Bool
+	startPhase            atomic.Int32 // a startPhase
 	closingAfterResponses atomic.Bool
 	draining              atomic.Bool
 }
@@ -37,11 +37,27 @@
 	return min(time.Duration(s.expectedTimerDelay.Load()), timeout/timerDelayMarginDivisor)
 }
 
+// startPhase is how far the start of an instance has come.
+type startPhase = int32
+
+// The phases of a start. The zero value is that of an instance that has no need to wait for an endpoint list.
+const (
+	started               startPhase = iota // requests are accepted
+	readyWithoutEndpoints                   // the instance reports that it is ready, and other requests are answered 503
+	waitingForEndpoints                     // all requests are answered 503
+)
+
 // MarkStarting records that the instance has no usable endpoint list yet. Until MarkStarted, requests are answered 503.
-func (s *Shared) MarkStarting() { s.starting.Store(true) }
+func (s *Shared) MarkStarting() { s.startPhase.Store(waitingForEndpoints) }
+
+// MarkReadyWithoutEndpoints makes an instance without a usable endpoint list report that it is ready; until MarkStarted, it
+// answers other requests with 503. It reports false, and has no effect, if the instance is ready already.
+func (s *Shared) MarkReadyWithoutEndpoints() bool {
+	return s.startPhase.CompareAndSwap(waitingForEndpoints, readyWithoutEndpoints)
+}
 
-// MarkStarted records that the instance has a usable endpoint list.
-func (s *Shared) MarkStarted() { s.starting.Store(false) }
+// MarkStarted records that the instance has a usable endpoint list. It reports false if it had one before.
+func (s *Shared) MarkStarted() bool { return s.startPhase.Swap(started) != started }
 
 // CloseAfterResponses starts the graceful shutdown: each response closes its connection, and requests are still accepted.
 func (s *Shared) CloseAfterResponses() { s.closingAfterResponses.Store(true) }
