What clients send ahead, leave unread or leave unfinished counts against the memory

Callers saw, on other deployments and in trials here: with hundreds of such clients at once a process passes its memory limit.

Cause: bytes received ahead were copied anew for each request, so that the collector reached its bound of half the processor and let the heap grow (28 MB for 13 in use); one read of small requests led to 150 KB of responses before the first was written; incomplete heads counted nowhere; the heap's limit left less than the 13 to 19 MB that the program's file takes.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -15,10 +15,6 @@
 	"sandyard/internal/server"
 )
 
-// heapShareOfMemoryLimit is the share of limits.memory_mb that is set as the Go runtime's memory limit. The rest is for memory
-// that this limit does not cover: code, and memory that the kernel uses for the process.
-const heapShareOfMemoryLimit = 0.7
-
 // node is the command "sandyard node".
 type node struct {
 	Config string `env:"NODE_CONFIG" required:"" type:"path" help:"The platform's configuration." placeholder:"FILE"`
@@ -56,8 +52,8 @@
 	if limits.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(limits.Cores)))
 	}
-	if limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapShareOfMemoryLimit * float64(limits.MemoryMB<<20)))
+	if memory := limits.RuntimeMemory(); memory > 0 {
+		debug.SetMemoryLimit(memory)
 	}
 }
 
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -67,6 +67,9 @@
 // Idle reports whether the reader is between messages and has received no part of the next one.
 func (r *Reader) Idle() bool { return r.state == stateHead && len(r.buf) == 0 && !r.skippedEmptyLine }
 
+// BufferSize returns the size of the buffer (bytes) that the reader holds for an unfinished line or head.
+func (r *Reader) BufferSize() int { return cap(r.buf) }
+
 // Feed processes bytes and returns how many it used and the next part. The caller must call it with the rest until the kind of
 // the part is More. The error is an *Error and final: every later call returns the same error.
 func (r *Reader) Feed(b []byte) (int, Part, error) {
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -18,7 +18,10 @@
 	defaultDescriptors    = 4096                   // file descriptors, if the configuration has no limit
 	clientShare           = 0.5                    // share of the descriptors for client connections
 	backendShare          = 0.3                    // share of the descriptors for backend connections; the rest is for other uses
-	bodyMemoryDivisor     = 4                      // a quarter of the memory may hold bodies; the rest is for the process itself
+	programPages          = 20 << 20               // bytes; resident pages of the program's file, which the platform counts as memory
+	minHeapDivisor        = 4                      // at least a quarter of a small memory limit is for the heap
+	heapShare             = 0.9                    // share of the memory besides programPages for the Go runtime; the rest is for sockets in the kernel
+	bodyMemoryDivisor     = 4                      // a quarter of the memory besides programPages may hold bodies and other input of clients
 	idleShare             = 0.6                    // share of the backend's idle timeout, so that the instance closes an idle connection first
 	requestTimeout        = 2 * time.Second        // to receive a request; the platform requires that slow senders are cut off within 3 s
 	writeTimeout          = 3 * time.Second        // to write 64 KiB; a client that reads needs less
@@ -107,10 +110,21 @@
 	return max(4, int(clientShare*float64(descriptors))), max(2, int(backendShare*float64(descriptors)))
 }
 
-// bodyMemory returns the memory for bodies (bytes).
+// usableMemory returns the memory besides the pages of the program's file (bytes).
+func (l Limits) usableMemory() int64 {
+	memory := int64(l.MemoryMB) << 20
+	return max(memory/minHeapDivisor, memory-programPages)
+}
+
+// RuntimeMemory returns the limit of the Go runtime's memory (bytes), or 0 if there is none.
+func (l Limits) RuntimeMemory() int64 {
+	return int64(heapShare * float64(l.usableMemory()))
+}
+
+// bodyMemory returns the memory for bodies and other input of clients (bytes).
 func (l Limits) bodyMemory() strictyaml.Size {
 	if l.MemoryMB == 0 {
 		return math.MaxInt32 // bytes; no limit is set, and this is more than an instance uses
 	}
-	return strictyaml.Size(int64(l.MemoryMB) << 20 / bodyMemoryDivisor)
+	return strictyaml.Size(l.usableMemory() / bodyMemoryDivisor)
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -153,6 +153,20 @@
 	}
 }
 
+// TestMemoryLimitCoversProgramFile guards against a process that exceeds its memory limit while the heap is within its own: the
+// resident pages of the program's file count as well.
+func TestMemoryLimitCoversProgramFile(t *testing.T) {
+	for _, megabytes := range []int{32, 48, 64, 128, 192, 2048} {
+		limits := Limits{MemoryMB: megabytes}
+		if heap := limits.RuntimeMemory(); heap+programPages > int64(megabytes)<<20 || heap < int64(limits.bodyMemory())*2 {
+			t.Errorf("%d MB: %d bytes for the heap, %d for bodies, %d for the program's file", megabytes, heap, limits.bodyMemory(), programPages)
+		}
+	}
+	if heap := (Limits{}).RuntimeMemory(); heap != 0 {
+		t.Errorf("no limit: %d", heap)
+	}
+}
+
 // TestOutcomesAndLoadReportsAreParsed checks that a request counts as not run only if the backend says so: if an error
 // without X-Not-Run counted as a rejection, the request would be retried and could take effect twice. Values that can't be
 // parsed are missing, not zero.
--- a/internal/server/clientconn.go
+++ b/internal/server/clientconn.go
@@ -15,9 +15,12 @@
 	lingeringCloseTimeout = time.Second
 	// maxLingeringCloseBytes (256 KiB) bounds what is read in that time: what a client may have in flight on a typical network.
 	maxLingeringCloseBytes = 256 << 10
-	// maxUnwrittenClientBytes (64 KiB) is how many unwritten bytes are buffered for a slow client. Beyond it a streamed
-	// response pauses, and further requests are not read.
+	// maxUnwrittenClientBytes (64 KiB) is how many unwritten bytes are buffered for a slow client before a streamed response
+	// pauses.
 	maxUnwrittenClientBytes = 64 << 10
+	// maxUnwrittenBeforeRead (4 KiB) is how many unwritten bytes are buffered for a slow client before its further requests are
+	// not read. Without the bound, hundreds of clients that don't read would each hold a stream's buffer of small responses.
+	maxUnwrittenBeforeRead = 4 << 10
 	// maxIdleOutputBytes (16 KiB) is the largest output buffer that a connection keeps between responses. Without the bound,
 	// thousands of idle connections would each hold the memory of their largest response.
 	maxIdleOutputBytes = 16 << 10
@@ -78,12 +81,12 @@
 	}
 }
 
-// prepareRead waits while more than maxUnwrittenClientBytes are buffered for the client, sets the read deadline, and reports
+// prepareRead waits while more than maxUnwrittenBeforeRead bytes are buffered for the client, sets the read deadline, and reports
 // whether the connection must be closed instead of read.
 func (cc *clientConn) prepareRead() (closed bool) {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	for cc.socket.unwrittenBytes() > maxUnwrittenClientBytes && !cc.closed && !cc.socket.closedOrFailed() {
+	for cc.socket.unwrittenBytes() > maxUnwrittenBeforeRead && !cc.closed && !cc.socket.closedOrFailed() {
 		cc.readable.Wait()
 	}
 	cc.setReadDeadline()
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -53,10 +53,10 @@
 	responseDeadline time.Duration  // in phaseAwaitResponse: when the connection answers in place of the instance; 0: never
 	hadRequest       bool           // Feed or Resume has returned a request for the instance; local responses don't count
 
-	// Bytes received while a response was awaited.
-	readAhead           []byte        // reserved in Shared.ReservedBytes
-	readAheadSince      time.Duration // when its first byte was received
-	readAheadOverflowed bool          // bytes beyond the limit were dropped; the connection closes after the buffered requests
+	// Bytes that were received and not parsed.
+	readAhead           readAhead
+	readAheadOverflowed bool // bytes beyond the limit were dropped; the connection closes after the buffered requests
+	reservedHead        int  // bytes of the reader's buffer that are reserved in Shared.ReservedBytes
 
 	// Closing the connection.
 	closeAfterResponse bool // the current response is the last one
@@ -93,7 +93,7 @@
 func (c *ClientConn) AwaitingResponse() bool { return c.phase == phaseAwaitResponse }
 
 // Idle reports whether nothing of a request was received since the last response.
-func (c *ClientConn) Idle() bool { return c.phase == phaseIdle && len(c.readAhead) == 0 }
+func (c *ClientConn) Idle() bool { return c.phase == phaseIdle && c.readAhead.len() == 0 }
 
 // IdleSince returns when the current phase started, whether Feed or Resume has returned a request before, and the result of
 // Idle. The connection has been idle since that time only if idle is true.
@@ -114,7 +114,7 @@
 	case phaseBody, phaseSkipBody:
 		deadline = c.phaseSince + time.Duration(limits.BodyTimeout)
 	case phaseCheckEnd:
-		deadline = c.followingRequestDeadline()
+		deadline = min(c.followingRequestDeadline(c.phaseSince), c.receivedAt+c.exchange.Timeout)
 	case phaseAwaitResponse:
 		return c.responseDeadline
 	default:
@@ -161,40 +161,53 @@
 // for which the client waits counts from receivedAt.
 func (c *ClientConn) FeedReceived(now, receivedAt time.Duration, b []byte) *Exchange {
 	if c.phase == phaseAwaitResponse {
-		if len(c.readAhead) == 0 {
-			c.readAheadSince = receivedAt
-		}
-		c.storeReadAhead(b)
+		c.storeReadAhead(receivedAt, b)
 		c.checkReadAhead(now)
 		return nil
 	}
 	if c.phase == phaseCheckEnd {
-		c.storeReadAhead(b)
+		c.storeReadAhead(receivedAt, b)
 		return c.resumeRequestEnd(now)
 	}
-	if len(c.readAhead) > 0 { // the owner has not called Resume yet, and earlier bytes must be parsed first
-		c.storeReadAhead(b)
+	if c.readAhead.len() > 0 { // the owner has not called Resume yet, and earlier bytes must be parsed first
+		c.storeReadAhead(receivedAt, b)
 		return c.Resume(now)
 	}
 	c.receivedAt = receivedAt
-	return c.parse(now, b)
+	ex, rest := c.parse(now, b)
+	if len(rest) > 0 {
+		c.storeReadAhead(receivedAt, rest)
+	}
+	c.checkReadAheadOverflow(now)
+	return ex
 }
 
-// Resume parses the bytes that were buffered while a response was awaited. The owner calls it after each response until it
-// returns nil.
+// Resume parses the bytes that were buffered while a response was awaited or written. The owner calls it after each response,
+// and after each call of Feed or Resume that has added to Outgoing, until it returns nil and adds nothing.
 func (c *ClientConn) Resume(now time.Duration) *Exchange {
-	if c.phase == phaseAwaitResponse || c.phase == phaseCheckEnd || len(c.readAhead) == 0 {
+	if c.phase == phaseAwaitResponse || c.phase == phaseCheckEnd || c.readAhead.len() == 0 {
 		return nil
 	}
-	b := c.readAhead
-	c.receivedAt = c.readAheadSince
-	c.dropReadAhead()
-	ex := c.parse(now, b)
-	if ex == nil && c.readAheadOverflowed { // the bytes that follow were dropped
+	b := c.readAhead.unparsed()
+	c.receivedAt = c.readAhead.since
+	ex, rest := c.parse(now, b)
+	if c.phase != phaseClosing {
+		c.readAhead.skip(c.shared, len(b)-len(rest))
+		c.checkReadAheadOverflow(now)
+	}
+	return ex
+}
+
+// checkReadAheadOverflow ends a connection of which bytes were dropped, unless buffered requests are left to be answered.
+func (c *ClientConn) checkReadAheadOverflow(now time.Duration) {
+	switch {
+	case !c.readAheadOverflowed:
+	case c.phase == phaseCheckEnd: // the rest of the request line was dropped
+		c.rejectMalformed(now, http1.ErrExcessBody)
+	case c.phase != phaseAwaitResponse && c.readAhead.len() == 0:
 		c.linger = true
 		c.close()
 	}
-	return ex
 }
 
 // Disconnected reports that the client closed the connection, or that it was lost. It returns the exchange that awaits its
@@ -215,26 +228,22 @@
 // close ends the connection: nothing more is parsed, and reserved memory is released.
 func (c *ClientConn) close() {
 	c.phase, c.exchange, c.heldResponse = phaseClosing, nil, nil
-	c.dropReadAhead()
+	c.readAhead.release(c.shared)
 	c.releaseBody()
+	c.shared.release(c.reservedHead)
+	c.reservedHead = 0
 }
 
-// storeReadAhead buffers bytes that arrive while a response is awaited: up to the size of one request, and as far as
-// limits.memory allows. Further bytes are read and dropped, because a disconnect can't be detected behind unread bytes.
-func (c *ClientConn) storeReadAhead(b []byte) {
+// storeReadAhead buffers bytes that can't be parsed yet: up to the size of one request, and as far as limits.memory allows.
+// Further bytes are read and dropped, because a disconnect can't be detected behind unread bytes.
+func (c *ClientConn) storeReadAhead(receivedAt time.Duration, b []byte) {
+	if c.readAhead.len() == 0 {
+		c.readAhead.since = receivedAt
+	}
 	limits := &c.shared.Config.Limits
-	largest := int(limits.Head) + int(limits.Body)
-	if c.readAheadOverflowed || len(c.readAhead)+len(b) > largest || !c.shared.reserve(len(b)) {
+	if c.readAheadOverflowed || !c.readAhead.add(c.shared, b, int(limits.Head)+int(limits.Body)) {
 		c.readAheadOverflowed = true
-		return
 	}
-	c.readAhead = append(c.readAhead, b...)
-}
-
-// dropReadAhead discards the buffered bytes and releases their memory.
-func (c *ClientConn) dropReadAhead() {
-	c.shared.release(len(c.readAhead))
-	c.readAhead = nil
 }
 
 // Drain closes an idle connection. Other connections close after their response if Shared.CloseAfterResponses was called.
--- a/proxy/clientconn_test.go
+++ b/proxy/clientconn_test.go
@@ -207,8 +207,8 @@
 	c.Feed(r.now, requestText("GET", "/look?2", "ka", ""))
 	for range 100 {
 		c.Feed(r.now, make([]byte, 16<<10))
-		if most := 16<<10 + 1<<10; len(c.readAhead) > most || r.shared.ReservedBytes.Load() > int64(most)+4<<10 { // limits.head and limits.body
-			t.Fatalf("%d bytes are buffered, %d reserved", len(c.readAhead), r.shared.ReservedBytes.Load())
+		if most := 16<<10 + 1<<10; c.readAhead.len() > most || r.shared.ReservedBytes.Load() > int64(most)+4<<10 { // limits.head and limits.body
+			t.Fatalf("%d bytes are buffered, %d reserved", c.readAhead.len(), r.shared.ReservedBytes.Load())
 		}
 	}
 	c.Feed(r.now, requestText("GET", "/look?3", "ka", "")) // must not be parsed as the request after the second
--- a/proxy/clientrequest.go
+++ b/proxy/clientrequest.go
@@ -16,22 +16,34 @@
 // addedHeadSize is the space in a rendered request for the header fields that the instance adds (bytes).
 const addedHeadSize = 512
 
-// parse parses b until a request is complete, all bytes are used or the connection closes. It returns the exchange of a
-// complete request.
-func (c *ClientConn) parse(now time.Duration, b []byte) *Exchange {
+// maxPendingOutput is how much output of local responses is created before it is written (bytes): more than one large
+// response. A client that sends many small requests and does not read must not make the output grow.
+const maxPendingOutput = 8 << 10
+
+// freeHeadBuffer is the size of a parser's buffer (bytes) that is not reserved in Shared.ReservedBytes. Typical heads are
+// smaller, so that they are accepted also while other clients exhaust limits.memory.
+const freeHeadBuffer = 4 << 10
+
+// parse parses b until a request is complete, all bytes are used, maxPendingOutput is reached or the connection closes. It
+// returns the exchange of a complete request, and the bytes that are not parsed.
+func (c *ClientConn) parse(now time.Duration, b []byte) (ex *Exchange, rest []byte) {
 	for c.phase != phaseClosing {
 		if c.phase == phaseIdle && len(b) > 0 {
+			if len(c.Outgoing) >= maxPendingOutput {
+				return nil, b
+			}
 			c.phase, c.phaseSince = phaseHead, now
 		}
 		n, part, err := c.reader.Feed(b)
 		b = b[n:]
 		if err != nil {
 			c.rejectMalformed(now, err)
-			return nil
+			return nil, nil
 		}
 		switch part.Kind {
 		case http1.More:
-			return nil
+			c.reserveHead(now)
+			return nil, nil
 		case http1.HeadEnd:
 			c.handleHead(now, part.Head)
 		case http1.Data:
@@ -39,11 +51,25 @@
 		case http1.End:
 			c.trailers = part.Trailers
 			if ex, wait := c.finishRequest(now, b); ex != nil || wait {
-				return ex
+				return ex, b
 			}
 		}
 	}
-	return nil
+	return nil, nil
+}
+
+// reserveHead reserves the memory of the parser's buffer, which holds an incomplete head. If limits.memory does not allow it,
+// the request is rejected.
+func (c *ClientConn) reserveHead(now time.Duration) {
+	size := max(0, c.reader.BufferSize()-freeHeadBuffer)
+	if size > c.reservedHead && !c.shared.reserve(size-c.reservedHead) {
+		c.rejectAndClose(now, outOfMemory)
+		return
+	}
+	if size < c.reservedHead {
+		c.shared.release(c.reservedHead - size)
+	}
+	c.reservedHead = size
 }
 
 // handleHead handles a complete head. It identifies the request, which gets a local response if that fails. The body is then
--- a/proxy/clientresponse.go
+++ b/proxy/clientresponse.go
@@ -116,7 +116,7 @@
 func (c *ClientConn) finishResponse(now time.Duration) {
 	ex := c.exchange
 	c.exchange, c.phase, c.phaseSince, c.responseBegun = nil, phaseIdle, now, false
-	if ex.CloseAfterResponse || c.closeAfterResponse || c.readAheadOverflowed && len(c.readAhead) == 0 {
+	if ex.CloseAfterResponse || c.closeAfterResponse || c.readAheadOverflowed && c.readAhead.len() == 0 {
 		c.linger = true
 		c.close()
 	}
--- a/proxy/followingbytes.go
+++ b/proxy/followingbytes.go
@@ -33,9 +33,9 @@
 	return http1.CheckFollowing(b)
 }
 
-// followingRequestDeadline returns until when the rest of a request line behind the current request is awaited.
-func (c *ClientConn) followingRequestDeadline() time.Duration {
-	return c.readAheadSince + min(followingRequestTimeout, c.exchange.Timeout/followingRequestDivisor)
+// followingRequestDeadline returns until when the rest of a request line is awaited whose beginning was found at since.
+func (c *ClientConn) followingRequestDeadline(since time.Duration) time.Duration {
+	return since + min(followingRequestTimeout, c.exchange.Timeout/followingRequestDivisor)
 }
 
 // finishRequest handles the end of a request, which the bytes in following follow. It returns the exchange for the instance, if
@@ -45,29 +45,21 @@
 		c.sendLocalResponse(now)
 		return nil, false
 	}
-	c.readAheadSince = c.receivedAt
 	switch c.following(following) {
 	case http1.FollowingExcess:
 		c.rejectMalformed(now, http1.ErrExcessBody)
 		return nil, false
 	case http1.FollowingPartialRequest:
 		c.phase, c.phaseSince = phaseCheckEnd, now
-		c.storeReadAhead(following)
-		if c.readAheadOverflowed { // the rest of the line would be dropped
-			c.rejectMalformed(now, http1.ErrExcessBody)
-		}
 		return nil, true
 	}
-	if ex = c.createExchange(now); ex != nil {
-		c.storeReadAhead(following)
-	}
-	return ex, false
+	return c.createExchange(now), false
 }
 
 // resumeRequestEnd continues with a request in phaseCheckEnd after more bytes were received. It returns the exchange for the
 // instance once a request line follows. Bytes that were dropped can't be checked, and count as a part of the body.
 func (c *ClientConn) resumeRequestEnd(now time.Duration) *Exchange {
-	following := c.following(c.readAhead)
+	following := c.following(c.readAhead.unparsed())
 	if c.readAheadOverflowed || following == http1.FollowingExcess {
 		c.rejectMalformed(now, http1.ErrExcessBody)
 		return nil
@@ -87,7 +79,7 @@
 	if c.responseBegun {
 		return
 	}
-	switch c.following(c.readAhead) {
+	switch c.following(c.readAhead.unparsed()) {
 	case http1.FollowingExcess:
 		c.respondToExcessBody(now)
 	case http1.FollowingRequest:
@@ -98,10 +90,10 @@
 // holdResponse keeps a response until it is known what the bytes behind its request are. It reports false if that is known: the
 // response can then be sent.
 func (c *ClientConn) holdResponse(now time.Duration, b []byte, closeAfterResponse bool) bool {
-	if c.responseBegun || c.following(c.readAhead) != http1.FollowingPartialRequest {
+	if c.responseBegun || c.following(c.readAhead.unparsed()) != http1.FollowingPartialRequest {
 		return false
 	}
-	deadline := c.followingRequestDeadline()
+	deadline := c.followingRequestDeadline(c.readAhead.since)
 	if c.responseDeadline != 0 {
 		deadline = min(deadline, c.responseDeadline)
 	}
