--- a/decision/gateway.go
+++ b/decision/gateway.go
@@ -117,7 +117,7 @@
 func (g *Gateway) runHousekeeping() {
 	g.emit(SetTimer{At: g.now + housekeepingInterval, Timer: Timer{Kind: TickTimer}})
 	g.flushPendingUse()
-	g.quotas.sweepIdle(g.now)
+	g.sweepIdleCustomers()
 	elapsed := g.now - g.load.sampledAt
 	if elapsed < controlPeriod {
 		return
--- a/decision/quota.go
+++ b/decision/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
@@ -45,13 +46,18 @@
 	// demandPrior is the weight, in units, of the plan's insideShare against the customer's own demand: for a rarely
 	// seen customer, the plan's other customers decide.
 	demandPrior = 0.5
-	// customersPerSweep is the number of customers that are checked per housekeeping run. It bounds the time of a run,
-	// however many customers there are.
-	customersPerSweep = 20
+	// customersPerSweep is the number of customers that are checked per housekeeping run, in addition to
+	// sweepsPerNewCustomer for each customer that is new since the last run. It bounds the time of a run, however many
+	// customers there are, and the sweep keeps up with new ones.
+	customersPerSweep    = 20
+	sweepsPerNewCustomer = 4
 	// customerIdleTTL is the time after which an idle customer is forgotten. It is longer than the period for which one
 	// counter name is used (maxCounterNamePeriod). A customer that returns later starts with a full quota bucket, and
 	// with a ceiling bucket that holds only the slack.
 	customerIdleTTL = 60 * time.Second
+	// unusedCustomerTTL is the time after which an idle customer is forgotten that has used nothing: its record then
+	// holds only a demand that has faded. Clients that send each request under a new name must not fill the memory.
+	unusedCustomerTTL = demandMemory
 )
 
 // planQuota describes how the use of a plan's customers is counted: as a total over all instances that decays. The
@@ -127,6 +133,7 @@
 	customers     map[string]*customerRecord
 	list          []*customerRecord // the same customers, in sweep order
 	sweepPosition int               // index into list
+	added         int               // customers that were added since the last sweep
 }
 
 func newQuotaTable(settings Settings) quotaTable {
@@ -137,20 +144,25 @@
 	return table
 }
 
-// sweepIdle forgets customers that were idle for customerIdleTTL. Each call checks a few customers.
-func (t *quotaTable) sweepIdle(now time.Duration) {
-	for range min(customersPerSweep, len(t.list)) {
+// sweepIdleCustomers forgets customers that were idle for customerIdleTTL, or for unusedCustomerTTL if they have used
+// nothing. Each call checks a few customers.
+func (g *Gateway) sweepIdleCustomers() {
+	t := &g.quotas
+	checks := min(customersPerSweep+sweepsPerNewCustomer*t.added, len(t.list))
+	t.added = 0
+	for range checks {
 		t.sweepPosition++
 		if t.sweepPosition >= len(t.list) { // a count modulo len could stay at one index while the list grows
 			t.sweepPosition = 0
 		}
 		customer := t.list[t.sweepPosition]
-		if now-customer.lastUsedAt <= customerIdleTTL || customer.inFlight != 0 || customer.pendingUseQueued {
+		if !g.mayForget(customer) {
 			continue
 		}
 		last := len(t.list) - 1
 		delete(t.customers, customer.id)
 		t.list[t.sweepPosition] = t.list[last]
+		t.list[last] = nil
 		t.list = t.list[:last]
 		if last == 0 {
 			return
@@ -158,13 +170,32 @@
 	}
 }
 
+// mayForget reports whether a customer has been idle for so long that its record is not needed any more.
+func (g *Gateway) mayForget(customer *customerRecord) bool {
+	idle := g.now - customer.lastUsedAt
+	if customer.inFlight != 0 || customer.pendingUseQueued {
+		return false
+	}
+	return idle > customerIdleTTL || idle > unusedCustomerTTL && g.isUnused(customer)
+}
+
+// isUnused reports whether a customer's record says no more than that of a new customer: after its last request its buckets
+// held what a new customer's would have held, and no total of the shared counter is known. If it returns, a new record
+// allows no more than the forgotten one would have. A record with a splitThreshold is not unused: a new one would draw
+// another threshold.
+func (g *Gateway) isUnused(customer *customerRecord) bool {
+	return customer.splitThreshold == 0 && customer.counterTotalAt == 0 && customer.pendingUse == 0 &&
+		customer.tokens >= customer.quota.burst/customer.instances && customer.ceilingTokens >= g.initialCeilingTokens(customer)
+}
+
 // findOrAddCustomer returns the customer of a request with its buckets refilled.
 func (g *Gateway) findOrAddCustomer(event RequestArrived) *customerRecord {
 	customer := g.quotas.customers[event.Customer]
 	if customer == nil {
 		customer = g.newCustomer(event)
-		g.quotas.customers[event.Customer] = customer
+		g.quotas.customers[customer.id] = customer
 		g.quotas.list = append(g.quotas.list, customer)
+		g.quotas.added++
 	}
 	customer.lastUsedAt = g.now
 	g.refillTokens(customer)
@@ -176,7 +207,7 @@
 // the split of the slack: this instance may have restarted, and the ceiling may have been used up a moment ago.
 func (g *Gateway) newCustomer(event RequestArrived) *customerRecord {
 	customer := &customerRecord{
-		id:           event.Customer,
+		id:           strings.Clone(event.Customer), // the event's may be a part of a whole request
 		customerHash: customerHash(event.Customer),
 		instances:    float64(min(max(1, event.Spread), g.settings.Instances)),
 		plan:         g.settings.planIndex(event.Plan),
@@ -190,10 +221,15 @@
 		customer.tokens = min(g.settings.MaxUnits, customer.tokens+customer.quota.rate/customer.instances*sinceStart.Seconds())
 		customer.splitThreshold = g.rng.Float64()
 	}
-	customer.ceilingTokens = g.settings.Plans[customer.plan].CeilingSlack / customer.instances
+	customer.ceilingTokens = g.initialCeilingTokens(customer)
 	return customer
 }
 
+// initialCeilingTokens returns the units in the ceiling bucket of a new customer.
+func (g *Gateway) initialCeilingTokens(customer *customerRecord) float64 {
+	return g.settings.Plans[customer.plan].CeilingSlack / customer.instances
+}
+
 // refillTokens refills a customer's buckets for the time since the last refill. If the customer uses the counter,
 // ceilingCounterShare of its ceiling is left out of the split.
 func (g *Gateway) refillTokens(customer *customerRecord) {
