--- a/decision/attempt.go
+++ b/decision/attempt.go
@@ -142,7 +142,7 @@
 	attempt := &request.attempts[event.Attempt]
 	g.closeAttempt(request, attempt)
 	g.updateEstimates(request.class, attempt, event)
-	if !request.mayHaveRun && event.Outcome.mayHaveRun() {
+	if !request.mayHaveRun && event.Outcome.MayHaveRun() {
 		request.mayHaveRun = true
 		request.firstRunBackend = attempt.backend
 		request.firstRunSentAt = attempt.sentAt
--- a/decision/retry.go
+++ b/decision/retry.go
@@ -12,8 +12,8 @@
 // and network delay.
 const keyTTLShare = 0.9
 
-// mayHaveRun reports whether the backend may have run a request whose attempt had this outcome.
-func (o Outcome) mayHaveRun() bool {
+// MayHaveRun reports whether the backend may have run a request whose attempt had this outcome.
+func (o Outcome) MayHaveRun() bool {
 	return o != Rejected && o != ConnectFailed && o != NotSent
 }
 
--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -212,6 +212,7 @@
 		inst.queueEvent(decision.ProbeEnded{Backend: ex.probedBackend, Outcome: ended.Outcome, Load: ended.Load})
 		return
 	}
+	ex.mayHaveRun = ex.mayHaveRun || attempt.firstByteAt > 0 && ended.Outcome.MayHaveRun()
 	ended.Request, ended.Attempt, ended.Latency = ex.ID, index, inst.now-attempt.decidedAt
 	if attempt.conn != nil {
 		ended.Backend = attempt.conn.backend.endpoint.Backend
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -118,6 +118,7 @@
 	openAttempts     int                // number of attempts that have not ended
 	streamingAttempt int                // in Streaming: the number of the attempt whose response is streamed
 	streamingConn    *BackendConn       // in Streaming: the connection of streamingAttempt
+	mayHaveRun       bool               // an attempt was written, and its outcome does not exclude that it has run
 	isProbe          bool               // it is a health check, which has no client
 	probedBackend    decision.BackendID // set if isProbe
 	clientDone       atomic.Bool        // the client has left, or the ClientConn has answered in place of the instance
--- a/proxy/instance.go
+++ b/proxy/instance.go
@@ -49,6 +49,7 @@
 	// Exchanges.
 	requests        map[decision.RequestID]*Exchange // until answered and no attempt is open; includes health checks
 	exchangesByName map[string]*Exchange             // by RequestInfo.UniqueName
+	recentNames     recentNames
 	lastRequestID   decision.RequestID
 	unanswered      int // exchanges without a final answer, or whose response is still being streamed
 
--- a/proxy/localresponse.go
+++ b/proxy/localresponse.go
@@ -37,6 +37,9 @@
 // duplicateName is the response to a request whose unique name is used by another open request.
 var duplicateName = newLocalResponse(409, "same-name", "Open already", "A request of this name is open.", true)
 
+// repeatedName is the response to a request whose unique name was used by a request that may have run.
+var repeatedName = newLocalResponse(409, "name-used", "Sent already", "A request of this name was sent to a box; whether it acted is not known.", false)
+
 // Responses to invalid requests.
 var (
 	missingKey            = newLocalResponse(401, "no-key", "No key", "The request carries no key of a studio.", true)
--- a/proxy/requests.go
+++ b/proxy/requests.go
@@ -12,12 +12,17 @@
 // limits.answer-margin, or earlier if timers have been firing late.
 //
 // An exchange with the unique name of another open exchange is answered 409 at once, without an event for the decision
-// gateway, because backends identify requests by that name.
+// gateway, because backends identify requests by that name. So is one with the name of a recent exchange that is not idempotent
+// and may have run.
 func (inst *Instance) RequestArrived(now time.Duration, ex *Exchange) {
 	inst.advanceTo(now)
 	if ex.UniqueName != "" {
 		if inst.exchangesByName[ex.UniqueName] != nil {
-			inst.rejectDuplicate(ex)
+			inst.rejectDuplicate(ex, &duplicateName)
+			return
+		}
+		if inst.recentNames.contains(now, ex.UniqueName) {
+			inst.rejectDuplicate(ex, &repeatedName)
 			return
 		}
 		inst.exchangesByName[ex.UniqueName] = ex
@@ -42,10 +47,11 @@
 	inst.drainEvents()
 }
 
-// rejectDuplicate answers an exchange whose unique name is in use. The exchange must not be in the instance's tables.
-func (inst *Instance) rejectDuplicate(ex *Exchange) {
+// rejectDuplicate answers an exchange whose unique name is in use, or was used recently. The exchange must not be in the
+// instance's tables.
+func (inst *Instance) rejectDuplicate(ex *Exchange, response *localResponse) {
 	ex.state = Done
-	inst.respondLocally(ex, &duplicateName, 0)
+	inst.respondLocally(ex, response, 0)
 	inst.shared.release(ex.reservedBytes)
 	ex.reservedBytes = 0
 }
@@ -157,6 +163,9 @@
 		delete(inst.requests, ex.ID)
 		if ex.UniqueName != "" {
 			delete(inst.exchangesByName, ex.UniqueName)
+			if ex.mayHaveRun && inst.shared.Config.Settings.Classes[ex.Class].Idempotency != decision.Idempotent {
+				inst.recentNames.add(inst.now, ex.UniqueName)
+			}
 		}
 		inst.shared.release(ex.reservedBytes)
 		ex.reservedBytes = 0
