A backend at whose address a later process has started gets no more attempts

Callers saw, on other deployments: work for a backend that had gone reached a new process at its address, which was taken for it.

Cause: backends are known by name, and nothing compared their addresses. While the list named both, each had its own connections, estimates and slow start, and requests for the old one were written to the new process.

Change: of two backends at one address, the one whose process started later owns it; the other is superseded, as if removed, until the list gives it another address or start.

Measured: without the rule TestBackendIsSupersededAtItsAddress fails in all four ways and TestBackendIsSupersededWhileConnecting fails (the request is written to the new process); with it both pass. Tests on one instance's state machine; no trial on processes.

--- a/proxy/endpoints.go
+++ b/proxy/endpoints.go
@@ -18,6 +18,7 @@
 	idleConns      []*BackendConn   // ordered by last use, the most recent last
 	connCount      int              // connections to it: idle, busy and dialling
 	listed         bool             // the endpoint list contains it
+	superseded     bool             // another backend's process listens at its address, see supersede.go
 	roundTrip      roundTripEstimate
 }
 
@@ -56,6 +57,7 @@
 // applyEndpoints applies an update and passes it to the decision gateway as one event, change.
 func (inst *Instance) applyEndpoints(now time.Duration, update EndpointsUpdate, change decision.EndpointsChanged) {
 	inst.advanceTo(now)
+	var changed []*backendEntry
 	for i := range update.Endpoints {
 		entry := &update.Endpoints[i]
 		backend := inst.findOrAddBackend(entry)
@@ -67,9 +69,12 @@
 		// A backend that an incremental update removes is forgotten when its last connection is closed. A backend that a
 		// complete list names as removed is kept until a list does not contain it.
 		backend.listed = change.Full || !removed
+		changed = append(changed, backend)
+	}
+	for _, backend := range inst.supersedeBackends(changed) {
 		change.Endpoints = append(change.Endpoints, backend.endpoint)
 		if inst.RecordDecision != nil {
-			inst.endpointNames = append(inst.endpointNames, entry.Name)
+			inst.endpointNames = append(inst.endpointNames, backend.name)
 		}
 	}
 	inst.retireBackends()
@@ -98,9 +103,15 @@
 // closed, and no further attempt starts on the others.
 func (inst *Instance) applyEndpoint(backend *backendEntry, update *config.Endpoint, origin time.Time) {
 	addressChanged := backend.addr != update.Address
+	if addressChanged {
+		inst.releaseAddress(backend)
+	}
 	processChanged := addressChanged || !time.Time(backend.processStarted).Equal(time.Time(update.Started))
 	backend.addr, backend.processStarted = update.Address, update.Started
 	backend.listed = true // set before connections are closed: an unlisted backend is removed with its last connection
+	if processChanged {
+		backend.superseded = false
+	}
 	if addressChanged {
 		backend.roundTrip = roundTripEstimate{}
 	}
@@ -137,6 +148,7 @@
 // removeIfUnused forgets a backend if the endpoint list does not contain it and it has no connections.
 func (inst *Instance) removeIfUnused(backend *backendEntry) {
 	if !backend.listed && backend.connCount == 0 && inst.backendsByName[backend.name] == backend {
+		inst.releaseAddress(backend)
 		delete(inst.backendsByName, backend.name)
 		delete(inst.backends, backend.endpoint.Backend)
 		inst.backendsInOrder = slices.DeleteFunc(inst.backendsInOrder, func(other *backendEntry) bool { return other == backend })
--- a/proxy/instance.go
+++ b/proxy/instance.go
@@ -57,6 +57,7 @@
 	backends        map[decision.BackendID]*backendEntry
 	backendsInOrder []*backendEntry // in the order in which they were first listed
 	backendsByName  map[string]*backendEntry
+	addressOwners   map[string]*backendEntry // by address: the backend whose process listens there, see supersede.go
 	lastBackendID   decision.BackendID
 	connCount       int // connections to all backends: idle, busy and dialling
 
@@ -85,6 +86,7 @@
 		exchangesByName: map[string]*Exchange{},
 		backends:        map[decision.BackendID]*backendEntry{},
 		backendsByName:  map[string]*backendEntry{},
+		addressOwners:   map[string]*backendEntry{},
 		initialActions:  actions,
 	}
 	inst.perform(actions)
