A response is checked against its exchange in one place again

Change: Respond leaves the check to appendResponse; holdResponse, which needs the current exchange, passes others by.

--- a/proxy/clientresponse.go
+++ b/proxy/clientresponse.go
@@ -18,10 +18,7 @@
 // Respond and the methods for streamed responses do nothing for an exchange that is not the current one; Respond then
 // reports false. Respond keeps the response for a while if the bytes behind the request may be a part of its body.
 func (c *ClientConn) Respond(now time.Duration, ex *Exchange, b []byte, closeAfterResponse bool) bool {
-	if c.exchange != ex || c.phase != phaseAwaitResponse || c.heldResponse != nil {
-		return false
-	}
-	return c.holdResponse(now, b, closeAfterResponse) || c.respondNow(now, ex, b, closeAfterResponse)
+	return c.holdResponse(now, ex, b, closeAfterResponse) || c.respondNow(now, ex, b, closeAfterResponse)
 }
 
 // respondNow is Respond without a look at the bytes behind the request.
--- a/proxy/followingbytes.go
+++ b/proxy/followingbytes.go
@@ -87,10 +87,10 @@
 	}
 }
 
-// holdResponse keeps a response until it is known what the bytes behind its request are. It reports false if that is known: the
-// response can then be sent.
-func (c *ClientConn) holdResponse(now time.Duration, b []byte, closeAfterResponse bool) bool {
-	if c.responseBegun || c.following(c.readAhead.unparsed()) != http1.FollowingPartialRequest {
+// holdResponse keeps a response until it is known what the bytes behind its request are. It reports false if that is known, or if
+// the exchange is not the current one.
+func (c *ClientConn) holdResponse(now time.Duration, ex *Exchange, b []byte, closeAfterResponse bool) bool {
+	if c.exchange != ex || c.phase != phaseAwaitResponse || c.responseBegun || c.following(c.readAhead.unparsed()) != http1.FollowingPartialRequest {
 		return false
 	}
 	deadline := c.followingRequestDeadline(c.readAhead.since)
