Records of attempts tell for how long no watch of discovery was open

The log couldn't tell an attempt that began while no watch of discovery was open from one that began while a change lay unread or unhandled: both show an old list.

Change: the record of an attempt has unwatched_ms, the time for which no watch had been open when it began (0: one was). Each attempt is recorded at the debug level; at info as before. A watch that opens is recorded, and "stopped" has unwatched_attempts.

--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -157,10 +157,15 @@
 	defer socket.close()
 	defer socket.releaseBuffer()
 	w.input.socket.Store(socket)
-	defer w.input.socket.Store(nil)
+	defer func() {
+		w.input.markUnwatched(w.server.now())
+		w.input.socket.Store(nil)
+	}()
 	stop := context.AfterFunc(ctx, func() { socket.conn.SetReadDeadline(expiredDeadline) }) // data that has arrived is still read
 	defer stop()
 	socket.write(fmt.Appendf(nil, "GET /v1/endpoints?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.version, address))
+	w.server.log.Info("watch of discovery opened", "addr", address, "seq", w.version, "unwatched_ms", w.input.unwatchedFor(w.server.now()).Milliseconds())
+	w.input.markWatched()
 	body := newWatchBody(ctx, &w.input, socket, func() { // the current version is confirmed without changes
 		received = true
 		w.server.postEndpoints(w.confirmation(socket, nil))
--- a/internal/server/endpointrecord.go
+++ b/internal/server/endpointrecord.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"sandyard/config"
@@ -24,13 +26,18 @@
 	confirmedAt time.Duration // when the watch read the confirmation, on the instance's clock; the instance's start if there is none
 	maxAge      time.Duration // maximum age at the beginning of an attempt
 	oldAttempts uint64        // number of attempts that used a list of oldListAge or more
+	unwatched   uint64        // number of attempts that began while no watch was open
 	oldLoggedAt time.Duration // when such an attempt was last logged outside of a shutdown
 }
 
 func (r *endpointListStatus) age(now time.Duration) time.Duration { return now - r.confirmedAt }
 
-// recordAttempt records an attempt that begins now, and reports whether the list that it uses is old.
-func (r *endpointListStatus) recordAttempt(now time.Duration) (old bool) {
+// recordAttempt records an attempt that begins now, and reports whether the list that it uses is old. unwatchedFor is how long no
+// watch has been open; 0: one is open.
+func (r *endpointListStatus) recordAttempt(now, unwatchedFor time.Duration) (old bool) {
+	if unwatchedFor > 0 {
+		r.unwatched++
+	}
 	age := r.age(now)
 	r.maxAge = max(r.maxAge, age)
 	old = age >= oldListAge
@@ -40,23 +47,27 @@
 	return old
 }
 
-// logAttempt logs the endpoint list that an attempt uses if the list could be outdated, that is during a shutdown or if it is
-// old. decidedAt is when the instance decided on the attempt, on the instance's clock.
+// logAttempt logs the endpoint list that an attempt uses: at the debug level for each attempt, else if the list could be outdated,
+// that is during a shutdown or if it is old. decidedAt is when the instance decided on the attempt, on the instance's clock.
 func (s *Server) logAttempt(effect proxy.Effect, decidedAt, now time.Duration) {
 	if s.discovery == nil {
 		return
 	}
-	old := s.listStatus.recordAttempt(now)
-	message := "attempt during shutdown"
-	if !s.shuttingDown.Load() {
-		if !old || now < s.listStatus.oldLoggedAt+oldListLogInterval {
-			return
-		}
+	unwatchedFor := s.discovery.input.unwatchedFor(now)
+	old := s.listStatus.recordAttempt(now, unwatchedFor)
+	level, message := slog.LevelInfo, "attempt by an old endpoint list"
+	switch {
+	case s.shuttingDown.Load():
+		message = "attempt during shutdown"
+	case old && now >= s.listStatus.oldLoggedAt+oldListLogInterval:
 		s.listStatus.oldLoggedAt = now
-		message = "attempt by an old endpoint list"
+	case s.debug:
+		level, message = slog.LevelDebug, "attempt"
+	default:
+		return
 	}
-	s.log.Info(message, "request", effect.Exchange.UniqueName, "addr", effect.Conn.Addr, "seq", s.listStatus.version,
-		"confirmed_ms_ago", s.listStatus.age(now).Milliseconds(), "read_seq", s.discovery.readVersion.Load(),
+	s.log.Log(context.Background(), level, message, "request", effect.Exchange.UniqueName, "addr", effect.Conn.Addr, "seq", s.listStatus.version,
+		"confirmed_ms_ago", s.listStatus.age(now).Milliseconds(), "unwatched_ms", unwatchedFor.Milliseconds(), "read_seq", s.discovery.readVersion.Load(),
 		"late_ms", (now - decidedAt).Milliseconds(), "request_age_ms", (now - effect.Exchange.Arrived).Milliseconds())
 }
 
--- a/internal/server/endpointrecord_test.go
+++ b/internal/server/endpointrecord_test.go
@@ -55,10 +55,10 @@
 // unnoticed.
 func TestAttemptByOldEndpointListIsLogged(t *testing.T) {
 	status := endpointListStatus{confirmedAt: time.Minute}
-	if status.recordAttempt(time.Minute + oldListAge - 1) {
+	if status.recordAttempt(time.Minute+oldListAge-1, 0) {
 		t.Error("a list that a heartbeat may still confirm counts as old")
 	}
-	if !status.recordAttempt(time.Minute+oldListAge) || status.oldAttempts != 1 || status.maxAge != oldListAge {
+	if !status.recordAttempt(time.Minute+oldListAge, 0) || status.oldAttempts != 1 || status.maxAge != oldListAge {
 		t.Errorf("%+v", status)
 	}
 }
@@ -96,6 +96,23 @@
 	}
 }
 
+// TestAttemptRecordTellsWhetherWatchIsOpen checks that the record of an attempt shows since when no watch was open when it began.
+// Without it an attempt after a change that nobody could hear looks the same as one after a change that was heard and not handled.
+func TestAttemptRecordTellsWhetherWatchIsOpen(t *testing.T) {
+	rig := startDrainRig(t)
+	rig.server.discovery.input.markWatched()
+	rig.requireAnswer(200, rig.send(1))
+	rig.server.discovery.input.markUnwatched(rig.server.now() - time.Minute)
+	rig.requireAnswer(200, rig.send(2))
+	rig.waitForLoop()
+	for id, want := range map[int]string{1: "unwatched_ms=0 ", 2: "unwatched_ms=600"} {
+		record := regexp.MustCompile(fmt.Sprintf(`msg="?attempt.* request=%016x .*`, id)).FindString(rig.log.String())
+		if !strings.Contains(record, want) {
+			t.Errorf("record of request %d: %q, want %s", id, record, want)
+		}
+	}
+}
+
 // waitForLoop waits until the event loop has handled the queued messages. It returns at once if the loop has ended.
 func (r *serverRig) waitForLoop() {
 	r.Helper()
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -124,5 +124,6 @@
 	s.log.Info("stopped", "arrived", st.Arrived, "served", st.Served, "refused_quota", st.RejectedOverQuota,
 		"refused_room", st.RejectedNoCapacity, "failed", st.Failed, "left", st.ClientsLeft, "broken", st.BrokenResponses, "trailing", s.trailingBytes.count(),
 		"attempts", st.Attempts, "dials", st.Dials, "expiries", s.expiredReads.Load(), "keeper_calls", st.CounterCalls,
-		"max_late_ms", s.maxLoopDelay.Milliseconds(), "max_list_age_ms", s.listStatus.maxAge.Milliseconds(), "old_list_attempts", s.listStatus.oldAttempts)
+		"max_late_ms", s.maxLoopDelay.Milliseconds(), "max_list_age_ms", s.listStatus.maxAge.Milliseconds(), "old_list_attempts", s.listStatus.oldAttempts,
+		"unwatched_attempts", s.listStatus.unwatched)
 }
--- a/internal/server/watchinput.go
+++ b/internal/server/watchinput.go
@@ -26,6 +26,8 @@
 	behind     atomic.Bool
 	catchUps   atomic.Uint64 // how often the goroutine has caught up and begun to wait
 	caughtUpAt atomic.Int64  // time.Duration: all data that had arrived by then was queued when it last caught up
+	// unwatchedSince (time.Duration) is since when no watch is open; 0: one is open.
+	unwatchedSince atomic.Int64
 
 	// Used by the event loop only, for its checks.
 	unhandledSince    time.Duration // time since which data may be unhandled; 0: the last check found none
@@ -38,9 +40,25 @@
 func (in *watchInput) start(now func() time.Duration) {
 	in.now = now
 	in.checkedAt = now()
+	in.markUnwatched(in.checkedAt)
 	in.markBehind()
 }
 
+// markWatched records that a watch is open and its request is written.
+func (in *watchInput) markWatched() { in.unwatchedSince.Store(0) }
+
+// markUnwatched records that no watch is open since a time.
+func (in *watchInput) markUnwatched(since time.Duration) { in.unwatchedSince.Store(int64(since)) }
+
+// unwatchedFor returns how long no watch has been open, or 0 if one is open.
+func (in *watchInput) unwatchedFor(now time.Duration) time.Duration {
+	since := time.Duration(in.unwatchedSince.Load())
+	if since == 0 {
+		return 0
+	}
+	return now - since
+}
+
 // markCaughtUp records that the goroutine begins to wait for discovery: for a connection, for bytes, or for the end of its
 // backoff. All data that had arrived by arrivedBy is queued for the event loop.
 func (in *watchInput) markCaughtUp(arrivedBy time.Duration) {
