A silent watch of discovery stays open until the next one's connection is established

Cause: a watch with nothing for 3 s was closed, and the next one begun after a wait that doubles to a second, whatever the grace. Discovery tells the watches that are open at its return.

Change: the silent watch is kept until its replacement is connected, then read to its last byte and closed; so one watch is requested at a time and one can always be answered. With none open, dials begin within a quarter of the grace, two at a time. Where none has begun for half of the grace, or could for lack of descriptors, no attempt begins; the unread end of a watch counts as unhandled.

Tests: the new guard hides planted faults of the soak that end or delay the watch: it sends nothing.

--- a/internal/server/descriptors.go
+++ b/internal/server/descriptors.go
@@ -8,8 +8,10 @@
 //	client connections              limits.connections            waitForClientSlot
 //	clients being rejected          maxRejectedConnections        rejectClient
 //	connections to backends         limits.lines                  proxy/pool.go, which closes idle ones to make room
-//	counter, watch of discovery     one each; two while their     the event loop, endpointWatch
-//	                                address changes
+//	counter                         one; two while its address    the event loop
+//	                                changes
+//	watch of discovery              one; three while a silent     endpointWatch, maxPendingDials
+//	                                one is replaced
 //	admin socket                    maxAdminConns                 connServer.admit
 //	listeners, log, trace file,     one each
 //	read of the endpoint file
--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -1,53 +1,26 @@
 package server
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"sandyard/config"
-	"sandyard/decision"
-	"sandyard/internal/http1"
-	"sandyard/internal/platform"
-	"sandyard/internal/tcpinfo"
-	"sandyard/proxy"
 )
 
-// Timeouts of the watch. docs/design/platform.md lists which sums of them must stay below the platform's bounds;
-// TestEndpointUpdateDeadlines checks these sums.
-const (
-	// watchSilenceTimeout ends a watch on which nothing arrives: 1.5 times discovery's heartbeat interval of 2 s. A heartbeat
-	// is an empty line, which shows that the watch is alive.
-	watchSilenceTimeout = 3 * time.Second
-	// watchDialTimeout bounds the dial of a watch. The discovery agent runs on this machine.
-	watchDialTimeout = time.Second
-	// minWatchBackoff is the backoff before a watch that ended is restarted. It doubles, with jitter, up to maxWatchBackoff.
-	minWatchBackoff = 100 * time.Millisecond
-	// maxWatchBackoff bounds the backoff, since the watch must work again a few seconds after discovery can be reached again.
-	maxWatchBackoff = time.Second
-)
-
-// maxFinalReads bounds the reads of a watch after its context has ended: enough for a message of the maximum size.
-const maxFinalReads = platform.MaxEndpointListBytes / readSize
-
-var (
-	errWatchEnded      = errors.New("the watch ended")
-	errMessageTooLarge = fmt.Errorf("a message of more than %d bytes", platform.MaxEndpointListBytes)
-)
+// watchSilenceTimeout is how long nothing arrives on a watch before it counts as silent: 1.5 times discovery's heartbeat interval of
+// 2 s. A heartbeat is an empty line, which shows that the watch is alive.
+const watchSilenceTimeout = 3 * time.Second
 
-// watchStatusError is a status other than 200 in answer to a watch.
-type watchStatusError int
+// watchFailureLogInterval is the minimum interval between log records of watches and dials that failed, after the first one.
+const watchFailureLogInterval = time.Second
 
-func (status watchStatusError) Error() string { return fmt.Sprintf("status %d", int(status)) }
-
-// endpointWatch watches the endpoint list at discovery. There is one watch at a time. A watch that ends or falls silent is
-// restarted from the version that was received last, so that no change is missed.
+// endpointWatch watches the endpoint list at discovery. There is one watch at a time. A watch that ends is restarted from the
+// version that was received last, so that no change is missed. A watch that falls silent stays open until the connection of the next
+// one is established: discovery answers the watches that are open when it is back.
 //
 // Versions: changes up to a version older than the current one repeat earlier messages and are dropped. Changes up to the
 // current version are applied again, which has no effect. Gaps are harmless, since each message has all changes since the
@@ -58,11 +31,14 @@
 	readVersion atomic.Uint64 // of the last message that was read; it may still be queued for the event loop
 	input       watchInput
 
-	mu             sync.Mutex    // guards address and addressChanged
-	address        string        // host:port
-	addressChanged chan struct{} // closed and replaced when address changes
+	mu           sync.Mutex         // guards address and leaveAddress
+	address      string             // host:port
+	leaveAddress context.CancelFunc // ends the watch at the current address; nil before run
 
 	firstListTimeouts firstListTimeouts // set before run
+	silenceTimeout    time.Duration     // set before run
+
+	failureLoggedAt atomic.Int64 // time.Duration: when a failure was last logged; 0: none since discovery was last heard
 
 	// Used by the goroutine of the watch only.
 	version   uint64                     // of the endpoint list that was last queued for the event loop
@@ -71,13 +47,13 @@
 
 func newEndpointWatch(s *Server, address string, version uint64) *endpointWatch {
 	w := &endpointWatch{
-		server:         s,
-		address:        address,
-		addressChanged: make(chan struct{}),
-		version:        version,
-		endpoints:      map[string]config.Endpoint{},
+		server:    s,
+		address:   address,
+		version:   version,
+		endpoints: map[string]config.Endpoint{},
 
 		firstListTimeouts: defaultFirstListTimeouts,
+		silenceTimeout:    watchSilenceTimeout,
 	}
 	w.readVersion.Store(version)
 	w.input.start(s.now)
@@ -91,249 +67,121 @@
 func (w *endpointWatch) setAddress(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if address != w.address {
-		w.address = address
-		close(w.addressChanged)
-		w.addressChanged = make(chan struct{})
+	if address == w.address {
+		return
+	}
+	w.address = address
+	if w.leaveAddress != nil {
+		w.leaveAddress()
 	}
 }
 
+// atCurrentAddress returns the address of discovery and a context that ends when the address changes.
+func (w *endpointWatch) atCurrentAddress(ctx context.Context) (context.Context, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ctx, w.leaveAddress = context.WithCancel(ctx)
+	return ctx, w.address
+}
+
 // run watches discovery until its context ends. Requests are rejected until discovery has answered (see firstListTimeouts).
 func (w *endpointWatch) run(ctx context.Context) {
 	stopTimers := w.startFirstListTimers(ctx)
 	defer stopTimers()
-	backoff := minWatchBackoff
 	for ctx.Err() == nil {
-		w.mu.Lock()
-		address, addressChanged := w.address, w.addressChanged
-		w.mu.Unlock()
-		received, err := w.watchUntilChanged(ctx, address, addressChanged)
-		if received {
-			backoff = minWatchBackoff
-		}
-		w.input.markCaughtUp(w.server.now())
-		select {
-		case <-addressChanged:
-			backoff = minWatchBackoff
-			continue
-		case <-ctx.Done():
-			return
-		case <-time.After(jitter(backoff)):
+		addressCtx, address := w.atCurrentAddress(ctx)
+		w.watchAddress(addressCtx, address)
+	}
+}
+
+// watchAddress watches discovery at an address until the context ends.
+func (w *endpointWatch) watchAddress(ctx context.Context, address string) {
+	dialer := newWatchDialer(w, address)
+	socket := dialer.connect(ctx, w.waitUnwatched)
+	for socket != nil {
+		if socket = w.watchOnce(ctx, dialer, socket); socket == nil {
+			socket = dialer.connect(ctx, w.waitUnwatched)
 		}
-		w.input.markBehind()
-		w.server.log.Warn("watch of discovery", "addr", address, "error", err, "seq", w.version)
-		backoff = min(2*backoff, maxWatchBackoff)
 	}
 }
 
-// jitter returns a random wait between d/2 and d, so that instances that lost discovery together do not reconnect together.
-func jitter(d time.Duration) time.Duration {
-	return time.Duration((0.5 + rand.Float64()/2) * float64(d))
+// waitUnwatched records that the goroutine begins to wait while no watch is open. Discovery could not be reached at probedAt.
+func (w *endpointWatch) waitUnwatched(probedAt time.Duration) {
+	w.input.markUnwatched(w.server.now(), probedAt)
+	w.input.markCaughtUp(w.server.now())
 }
 
-// watchUntilChanged runs one watch until it ends, its context ends or the address changes.
-func (w *endpointWatch) watchUntilChanged(ctx context.Context, address string, changed <-chan struct{}) (received bool, err error) {
-	watchCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() { // ends with watchCtx
-		select {
-		case <-changed:
-			cancel()
-		case <-watchCtx.Done():
+// watchOnce runs a watch on a connection until the watch ends. If the watch ended because it was silent and its replacement is
+// established, watchOnce returns the connection of the replacement, else nil.
+func (w *endpointWatch) watchOnce(ctx context.Context, dialer *watchDialer, socket *socket) (next *socket) {
+	watchCtx, endWatch := context.WithCancel(ctx)
+	defer endWatch()
+	replacement := &watchReplacement{dialer: dialer, watchCtx: watchCtx, endWatch: endWatch}
+	err := w.readMessages(watchCtx, socket, replacement)
+	next = replacement.take()
+	if ctx.Err() != nil {
+		if next != nil {
+			next.close()
 		}
-	}()
-	return w.watchOnce(watchCtx, address)
+		return nil
+	}
+	w.logFailure(dialer.address, err)
+	return next
 }
 
-// watchOnce runs one watch until it ends. It reports whether a message or a heartbeat was received.
-func (w *endpointWatch) watchOnce(ctx context.Context, address string) (received bool, err error) {
-	dialCtx, cancel := context.WithTimeout(ctx, watchDialTimeout)
-	w.input.markCaughtUp(w.server.now())
-	socket, err := dialTCP(dialCtx, address, watchSilenceTimeout)
-	cancel()
-	if err != nil {
-		return false, err
-	}
+// readMessages requests a watch on a connection, and reads its messages until it ends.
+func (w *endpointWatch) readMessages(ctx context.Context, socket *socket, replacement *watchReplacement) error {
 	defer socket.close()
 	defer socket.releaseBuffer()
+	w.input.markBehind()
 	w.input.socket.Store(socket)
-	defer func() {
-		w.input.markUnwatched(w.server.now())
-		w.input.socket.Store(nil)
-	}()
+	defer w.input.socket.Store(nil)
 	stop := context.AfterFunc(ctx, func() { socket.conn.SetReadDeadline(expiredDeadline) }) // data that has arrived is still read
 	defer stop()
+	address := replacement.dialer.address
 	socket.write(fmt.Appendf(nil, "GET /v1/endpoints?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.version, address))
-	w.server.log.Info("watch of discovery opened", "addr", address, "seq", w.version, "unwatched_ms", w.input.unwatchedFor(w.server.now()).Milliseconds())
-	w.input.markWatched()
-	body := newWatchBody(ctx, &w.input, socket, func() { // the current version is confirmed without changes
-		received = true
-		w.server.postEndpoints(w.confirmation(socket, nil))
+	w.logOpened(address)
+	received := func() {
+		replacement.dialer.reset()
+		w.failureLoggedAt.Store(0)
+	}
+	body := newWatchBody(ctx, &w.input, socket, w.silenceTimeout, watchEvents{
+		onHeartbeat: func() { // the current version is confirmed without changes
+			received()
+			w.server.postEndpoints(w.confirmation(socket, nil))
+		},
+		onSilence: replacement.begin,
+		onBytes:   replacement.abandon,
 	})
 	messages := json.NewDecoder(body)
 	for {
 		var text json.RawMessage
 		if err := messages.Decode(&text); err != nil {
-			return received, err
+			return err
 		}
 		body.messageBytes = 0
 		if err := w.handleMessage(socket, text); err != nil {
-			return received, err
-		}
-		received = true
-	}
-}
-
-// watchBody is the body of the response to a watch as a stream. Reading it fails when nothing arrives for
-// watchSilenceTimeout. A message is one JSON value in any layout and split into chunks at any place, with empty lines between
-// messages.
-type watchBody struct {
-	ctx          context.Context // of the watch: after its end, data that has arrived is read, without waiting for more
-	input        *watchInput
-	socket       *socket
-	finalReads   int // number of reads since ctx ended
-	responses    *http1.Reader
-	unparsed     []byte // bytes read from the connection
-	unread       []byte // bytes of the body that Read has not returned
-	messageBytes int    // bytes that Read has returned since the last complete message
-	onHeartbeat  func() // called for whitespace between messages: a heartbeat
-}
-
-func newWatchBody(ctx context.Context, input *watchInput, socket *socket, onHeartbeat func()) *watchBody {
-	body := &watchBody{ctx: ctx, input: input, socket: socket, responses: http1.NewResponses(http1.Limits{}), onHeartbeat: onHeartbeat}
-	body.responses.Expect("GET")
-	return body
-}
-
-// Read waits for a part of the body for at most watchSilenceTimeout. It returns an error at the end of the body.
-func (b *watchBody) Read(p []byte) (int, error) {
-	for len(b.unread) == 0 {
-		if err := b.readPart(); err != nil {
-			return 0, err
-		}
-	}
-	b.messageBytes += len(b.unread)
-	if b.messageBytes > platform.MaxEndpointListBytes {
-		return 0, errMessageTooLarge
-	}
-	n := copy(p, b.unread)
-	b.unread = b.unread[n:]
-	b.messageBytes -= len(b.unread)
-	return n, nil
-}
-
-// readPart parses the next part of the response, or reads more bytes if the part is incomplete.
-func (b *watchBody) readPart() error {
-	n, part, err := b.responses.Feed(b.unparsed)
-	b.unparsed = b.unparsed[n:]
-	if err != nil {
-		return err
-	}
-	switch part.Kind {
-	case http1.More:
-		if b.unparsed, err = b.readSocket(); err != nil {
 			return err
 		}
-	case http1.HeadEnd:
-		if status := part.Head.Status; status != 200 && status/100 != 1 {
-			return watchStatusError(status)
-		}
-	case http1.Data:
-		b.unread = part.Data
-		if b.messageBytes == 0 {
-			b.unread = bytes.TrimLeft(b.unread, " \t\r\n")
-			if len(b.unread) == 0 {
-				b.onHeartbeat()
-			}
-		}
-	case http1.End:
-		return errWatchEnded
-	}
-	return nil
-}
-
-// readSocket waits for bytes for at most watchSilenceTimeout. Once the context has ended it does not wait, and only returns
-// bytes that have arrived.
-func (b *watchBody) readSocket() ([]byte, error) {
-	b.socket.conn.SetReadDeadline(time.Now().Add(watchSilenceTimeout))
-	if b.ctx.Err() != nil {
-		b.socket.conn.SetReadDeadline(expiredDeadline)
-		if b.finalReads++; b.finalReads > maxFinalReads {
-			return nil, errWatchEnded
-		}
-	}
-	return b.input.read(b.socket)
-}
-
-// handleMessage queues a message of discovery for the event loop. It logs entries that can't be parsed; the current endpoints
-// of their hosts stay in force. It returns an error if the message as a whole can't be parsed.
-func (w *endpointWatch) handleMessage(socket *socket, text []byte) error {
-	update, err := platform.ParseEndpointList(text)
-	if err != nil {
-		return err
-	}
-	if !update.Full && update.Version < w.version {
-		w.server.log.Warn("list of boxes: changes of an older version are dropped", "seq", update.Version, "held", w.version)
-		return nil
-	}
-	endpoints := update.Endpoints
-	if update.Full {
-		endpoints = append(endpoints, w.currentEndpoints(update.Malformed)...)
-	}
-	departed := w.updateEndpoints(endpoints, update.Full)
-	w.version = update.Version
-	w.readVersion.Store(update.Version)
-	confirmed := w.confirmation(socket, departed)
-	change := proxy.EndpointsUpdate{Endpoints: endpoints, Origin: w.server.clockOrigin()}
-	if update.Full {
-		w.server.postEndpoints(endpointsReplaced{change}, confirmed)
-	} else {
-		w.server.postEndpoints(endpointsUpdated{change}, confirmed)
-	}
-	for _, invalid := range update.Malformed { // logged after the update is queued, which a slow log must not delay
-		w.server.log.Warn("list of boxes: an entry is not taken", "seq", update.Version, "error", invalid.Err)
-	}
-	w.server.log.Info("list of boxes", "seq", update.Version, "whole", update.Full, "entries", len(endpoints))
-	return nil
-}
-
-// currentEndpoints returns the current endpoints of the hosts whose new entries can't be parsed.
-func (w *endpointWatch) currentEndpoints(malformed []platform.EndpointError) (current []config.Endpoint) {
-	for _, invalid := range malformed {
-		if endpoint, ok := w.endpoints[invalid.Host]; ok {
-			current = append(current, endpoint)
-		}
+		received()
 	}
-	return current
 }
 
-// updateEndpoints applies a message to endpoints, and returns the addresses of the endpoints that it takes out of use.
-func (w *endpointWatch) updateEndpoints(endpoints []config.Endpoint, full bool) (departed []string) {
-	before := w.endpoints
-	if full {
-		w.endpoints = make(map[string]config.Endpoint, len(endpoints))
-	} else {
-		before = make(map[string]config.Endpoint, len(endpoints))
-		for _, e := range endpoints {
-			before[e.Name] = w.endpoints[e.Name]
-		}
-	}
-	for _, e := range endpoints {
-		w.endpoints[e.Name] = e
-		if decision.EndpointState(e.State) == decision.Removed {
-			delete(w.endpoints, e.Name)
-		}
-	}
-	return departedEndpoints(before, w.endpoints)
+// logOpened records that a watch is open.
+func (w *endpointWatch) logOpened(address string) {
+	unwatchedFor := w.input.unwatchedFor(w.server.now())
+	w.input.markWatched()
+	w.server.log.Info("watch opened", "addr", address, "seq", w.version, "unwatched_ms", unwatchedFor.Milliseconds())
 }
 
-// confirmation returns the message to the event loop that discovery has just confirmed the current version of the list.
-func (w *endpointWatch) confirmation(socket *socket, departed []string) endpointsConfirmed {
-	readAt := w.server.now()
-	return endpointsConfirmed{
-		version:   w.version,
-		readAt:    readAt,
-		arrivedAt: readAt - tcpinfo.InputAge(socket.raw),
-		departed:  departed,
+// logFailure logs the failure of a watch or a dial: the first one since discovery was last heard, and then one a second. While
+// discovery is down, dials fail many times a second. Any goroutine may call it.
+func (w *endpointWatch) logFailure(address string, err error) {
+	now := w.server.now()
+	last := w.failureLoggedAt.Load()
+	if last != 0 && now < time.Duration(last)+watchFailureLogInterval {
+		return
 	}
+	w.failureLoggedAt.Store(int64(now))
+	w.server.log.Warn("watch of discovery", "addr", address, "error", err, "seq", w.readVersion.Load())
 }
--- a/internal/server/discovery_test.go
+++ b/internal/server/discovery_test.go
@@ -60,6 +60,26 @@
 	}
 }
 
+// TestWaitsWithoutWatchFitDrainGrace adds up, for the drain graces that settings may have, the longest wait until the next dial of
+// discovery and the time for which a change may then be unhandled before nothing is sent. The sum must be within the grace. A dialer
+// that is in time must not make the instance reject requests.
+func TestWaitsWithoutWatchFitDrainGrace(t *testing.T) {
+	for _, grace := range []time.Duration{0, 10 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond,
+		500 * time.Millisecond, time.Second, 2 * time.Second, 10 * time.Second, time.Minute} {
+		wait := watchBackoffLimit(grace)
+		unhandled := max(grace/2, 20*time.Millisecond) // as package proxy allows
+		if bound := grace + socketSlack; wait+unhandled > bound {
+			t.Errorf("grace %v: a wait of %v and %v unhandled, want at most %v", grace, wait, unhandled, bound)
+		}
+		if wait >= unhandled {
+			t.Errorf("grace %v: requests are rejected after %v without a dial, but a dial may begin after %v", grace, unhandled, wait)
+		}
+		if wait > maxWatchBackoff {
+			t.Errorf("grace %v: a wait of %v", grace, wait)
+		}
+	}
+}
+
 // startAgent starts a discovery agent. answer is called for each watch after its request was read, with the watch's number.
 func startAgent(t *testing.T, answer func(n int, c net.Conn, since string)) string {
 	calls := make(chan int, 1)
--- a/internal/server/endpointrecord_test.go
+++ b/internal/server/endpointrecord_test.go
@@ -102,7 +102,7 @@
 	rig := startDrainRig(t)
 	rig.server.discovery.input.markWatched()
 	rig.requireAnswer(200, rig.send(1))
-	rig.server.discovery.input.markUnwatched(rig.server.now() - time.Minute)
+	rig.server.discovery.input.markUnwatched(rig.server.now()-time.Minute, rig.server.now())
 	rig.requireAnswer(200, rig.send(2))
 	rig.waitForLoop()
 	for id, want := range map[int]string{1: "unwatched_ms=0 ", 2: "unwatched_ms=600"} {
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -125,11 +125,11 @@
 	}
 }
 
-// endpointsUnhandledFor returns an upper bound of how long a message of discovery has been waiting to be read or handled, or 0
-// if none was found (see watchInput.unhandledFor). Only the event loop calls it.
+// endpointsUnhandledFor returns an upper bound of how long a message of discovery has been waiting to be received, read or handled, or
+// 0 if none was found (see watchInput.unhandledFor and watchInput.probeAge). Only the event loop calls it.
 func (s *Server) endpointsUnhandledFor() time.Duration {
 	now := s.now()
-	unhandledFor := s.discovery.input.unhandledFor(now)
+	unhandledFor := max(s.discovery.input.unhandledFor(now), s.discovery.input.probeAge(now))
 	if s.endpointsQueued.Load() {
 		s.queueMu.Lock()
 		unhandledFor = max(unhandledFor, now-s.endpointsQueuedAt)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,7 +17,8 @@
 //	admin connection              admin socket           its one response, adminTimeout at most, or step 7
 //	trace recorder                startWriting           step 8
 //	socket, flushing              a write                all bytes written, or the socket's closing or failure
-//	canceller of a watch          endpoint watch         the end of its watch, or a change of discovery's address
+//	dial of discovery             endpoint watch         its result (watchDialTimeout at most), or the end of its watch
+//	replacement of a watch        endpoint watch         a dial that succeeds, a byte on the watch, or the watch's end
 //	timeout of the first list     endpoint watch         an idle watch (timeOutFirstList), or step 4
 //	reload at SIGHUP              command "node"         the end of Serve, or of a reload in progress at that time
 //
--- a/internal/server/watchinput.go
+++ b/internal/server/watchinput.go
@@ -28,6 +28,9 @@
 	caughtUpAt atomic.Int64  // time.Duration: all data that had arrived by then was queued when it last caught up
 	// unwatchedSince (time.Duration) is since when no watch is open; 0: one is open.
 	unwatchedSince atomic.Int64
+	// probedAt (time.Duration) is when the last dial began that reached discovery's machine, while no watch is open: by then
+	// discovery could not tell anything.
+	probedAt atomic.Int64
 
 	// Used by the event loop only, for its checks.
 	unhandledSince    time.Duration // time since which data may be unhandled; 0: the last check found none
@@ -40,15 +43,18 @@
 func (in *watchInput) start(now func() time.Duration) {
 	in.now = now
 	in.checkedAt = now()
-	in.markUnwatched(in.checkedAt)
+	in.markUnwatched(in.checkedAt, in.checkedAt)
 	in.markBehind()
 }
 
 // markWatched records that a watch is open and its request is written.
 func (in *watchInput) markWatched() { in.unwatchedSince.Store(0) }
 
-// markUnwatched records that no watch is open since a time.
-func (in *watchInput) markUnwatched(since time.Duration) { in.unwatchedSince.Store(int64(since)) }
+// markUnwatched records that no watch is open now, and when the last dial began that reached discovery's machine.
+func (in *watchInput) markUnwatched(now, probedAt time.Duration) {
+	in.probedAt.Store(int64(probedAt))
+	in.unwatchedSince.CompareAndSwap(0, int64(now))
+}
 
 // unwatchedFor returns how long no watch has been open, or 0 if one is open.
 func (in *watchInput) unwatchedFor(now time.Duration) time.Duration {
@@ -59,6 +65,15 @@
 	return now - since
 }
 
+// probeAge returns how long discovery may have had a change to tell while no watch was open: the time since the last dial that
+// found that it can't be reached. It returns 0 if a watch is open.
+func (in *watchInput) probeAge(now time.Duration) time.Duration {
+	if in.unwatchedSince.Load() == 0 {
+		return 0
+	}
+	return now - time.Duration(in.probedAt.Load())
+}
+
 // markCaughtUp records that the goroutine begins to wait for discovery: for a connection, for bytes, or for the end of its
 // backoff. All data that had arrived by arrivedBy is queued for the event loop.
 func (in *watchInput) markCaughtUp(arrivedBy time.Duration) {
@@ -77,7 +92,7 @@
 // are either unread on the socket or the goroutine is marked as behind.
 func (in *watchInput) read(socket *socket) ([]byte, error) {
 	now := in.now() // before the check, after which the goroutine can be delayed
-	if !hasUnreadBytes(socket) {
+	if !hasInput(socket.raw) {
 		in.markCaughtUp(now)
 	}
 	err := socket.waitForInput()
@@ -94,10 +109,10 @@
 // isIdle reports whether the watch waits for discovery and nothing is unread on its socket.
 func (in *watchInput) isIdle() bool { return !in.hasUnhandled(in.socket.Load()) }
 
-// hasUnhandled reports whether bytes are unread on the socket of the watch or the goroutine is behind. It checks the socket
-// first: before the goroutine takes bytes from it, it marks itself as behind.
+// hasUnhandled reports whether bytes, the end of the stream or an error are unread on the socket of the watch, or the goroutine is
+// behind. It checks the socket first: before the goroutine takes bytes from it, it marks itself as behind.
 func (in *watchInput) hasUnhandled(socket *socket) bool {
-	return hasUnreadBytes(socket) || in.behind.Load()
+	return socket != nil && hasInput(socket.raw) || in.behind.Load()
 }
 
 // unhandledFor returns how long data of discovery has been waiting to be read or queued, or 0 if the last check, less than
--- a/internal/server/watchinput_test.go
+++ b/internal/server/watchinput_test.go
@@ -137,3 +137,20 @@
 		t.Errorf("unread for %v, want %v at least", unread, stall)
 	}
 }
+
+// TestEndOfWatchCountsAsUnhandled guards against attempts at a draining backend while the goroutine of the watch is delayed: the watch
+// had ended, no bytes were unread, and discovery's next change could not be heard.
+func TestEndOfWatchCountsAsUnhandled(t *testing.T) {
+	clock := time.Hour
+	input := &watchInput{}
+	input.start(func() time.Duration { return clock })
+	socket, discovery := newSocketPair(t)
+	input.socket.Store(socket)
+	input.markCaughtUp(clock)
+	discovery.Close()
+	waitReadable(t, socket)
+	clock += time.Minute
+	if unhandled := input.unhandledFor(clock); unhandled < time.Minute {
+		t.Errorf("unhandled for %v", unhandled)
+	}
+}
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -79,19 +79,23 @@
 	mutation mutation.Mutation
 }{
 	{soak.FramedNotices, anyPlan, mutation.Mutation{Name: "message-in-pieces-dropped", Edits: []mutation.Edit{{
-		File: "internal/server/discovery.go",
+		File: "internal/server/watchbody.go",
 		Old:  "\t\tb.unread = part.Data\n",
 		New:  "\t\tb.unread = part.Data\n\t\tif !bytes.HasSuffix(b.unread, []byte(\"\\n\")) {\n\t\t\tb.unread = nil\n\t\t}\n",
 	}}}},
 	{soak.FramedNotices, anyPlan, mutation.Mutation{Name: "bytes-behind-heartbeat-dropped", Edits: []mutation.Edit{{
-		File: "internal/server/discovery.go",
-		Old:  "\t\t\t\tb.onHeartbeat()\n",
-		New:  "\t\t\t\tb.onHeartbeat()\n\t\t\t\tb.unparsed = nil\n",
+		File: "internal/server/watchbody.go",
+		Old:  "\t\t\t\tb.events.onHeartbeat()\n",
+		New:  "\t\t\t\tb.events.onHeartbeat()\n\t\t\t\tb.unparsed = nil\n",
 	}}}},
 	{soak.FramedNotices, anyPlan, mutation.Mutation{Name: "millisecond-per-entry-and-watch-not-asked", Edits: []mutation.Edit{{
-		File: "internal/server/discovery.go",
+		File: "internal/server/watchmessages.go",
 		Old:  "\tendpoints := update.Endpoints\n",
 		New:  "\tendpoints := update.Endpoints\n\ttime.Sleep(time.Duration(len(endpoints)) * time.Millisecond)\n",
+	}, {
+		File: "internal/server/watchmessages.go",
+		Old:  "import (\n",
+		New:  "import (\n\t\"time\"\n\n",
 	}, {
 		File: "internal/server/watchinput.go",
 		Old:  "\tif in.unhandledSince == 0 && now < in.checkedAt+checkInterval {\n",
@@ -103,15 +107,15 @@
 		New:  "configuredListTimeout = 100 * time.Millisecond",
 	}}}},
 	{soak.OldFullList, anyPlan, mutation.Mutation{Name: "version-never-lowered", Edits: []mutation.Edit{{
-		File: "internal/server/discovery.go",
+		File: "internal/server/watchmessages.go",
 		Old:  "\tw.version = update.Version\n",
 		New:  "\tw.version = max(w.version, update.Version)\n",
 	}}}},
 	{soak.DialHangs, anyPlan, mutation.Mutation{Name: "failed-dial-waits-seconds", Edits: []mutation.Edit{{
-		File: "internal/server/discovery.go",
-		Old:  "minWatchBackoff = 100 * time.Millisecond",
-		New:  "minWatchBackoff = 8 * time.Second",
-	}}}},
+		File: "internal/server/watchdial.go",
+		Old:  "\td.dueAt = time.Now().Add(jitter(d.interval))\n",
+		New:  "\td.dueAt = time.Now().Add(8 * time.Second)\n",
+	}, watchNotAsked}}},
 	{soak.RequestBatch, anyPlan, plantedFaults[0].mutation}, // the watch ends at SIGTERM
 	{soak.DrainWaves, anyPlan, mutation.Mutation{Name: "watch-ends-after-sigterm", Edits: []mutation.Edit{{
 		File: "internal/server/server.go",
@@ -119,7 +123,7 @@
 		New: "\twatchCtx, endWatch := context.WithCancel(s.connectionsCtx)\n" +
 			"\tcontext.AfterFunc(ctx, func() { time.AfterFunc(200*time.Millisecond, endWatch) })\n" +
 			"\ts.goroutines.Go(func() { watchEndpoints(watchCtx) })\n",
-	}}}},
+	}, watchNotAsked}}},
 }
 
 // A scenario without violations is evidence only if it finds planted faults.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -140,6 +140,14 @@
 	}
 }
 
+// watchNotAsked makes an instance ignore that its watch of discovery is not open or behind. Else it sends nothing once it can't know
+// the endpoint list, and a planted fault of the watch breaks no rule.
+var watchNotAsked = mutation.Edit{
+	File: "internal/server/eventloop.go",
+	Old:  "max(s.discovery.input.unhandledFor(now), s.discovery.input.probeAge(now))",
+	New:  "time.Duration(0)",
+}
+
 // plantedFaults are faults that the soak must find within ten seeds, by a violation with the given text.
 var plantedFaults = []struct {
 	mutation mutation.Mutation
@@ -149,7 +157,7 @@
 		File: "internal/server/server.go",
 		Old:  "s.goroutines.Go(func() { watchEndpoints(s.connectionsCtx) })",
 		New:  "s.goroutines.Go(func() { watchEndpoints(ctx) })",
-	}}}, "began"},
+	}, watchNotAsked}}, "began"},
 	{mutation.Mutation{Name: "last-connections-unread", Edits: []mutation.Edit{{
 		File: "internal/server/accept.go",
 		Old:  "\t\t\ts.serveClient(conn)\n",
