The endpoint file is read within a quarter of the drain grace

Need: "sandyard serve" looked at its endpoint file every 50 ms whatever the drain grace is, so with a grace below 50 ms a drain in the file could be found after the grace.

Change: the interval is the longest wait between dials of discovery, a quarter of the grace and 10 ms at least, and 50 ms at most as before.

--- a/internal/server/discovery_test.go
+++ b/internal/server/discovery_test.go
@@ -62,7 +62,7 @@
 
 // TestWaitsWithoutWatchFitDrainGrace adds up, for the drain graces that settings may have, the longest wait until the next dial of
 // discovery and the time for which a change may then be unhandled before nothing is sent. The sum must be within the grace. A dialer
-// that is in time must not make the instance reject requests.
+// that is in time must not make the instance reject requests. The endpoint file of "sandyard serve" must be read as often.
 func TestWaitsWithoutWatchFitDrainGrace(t *testing.T) {
 	for _, grace := range []time.Duration{0, 10 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond,
 		500 * time.Millisecond, time.Second, 2 * time.Second, 10 * time.Second, time.Minute} {
@@ -77,6 +77,9 @@
 		if wait > maxWatchBackoff {
 			t.Errorf("grace %v: a wait of %v", grace, wait)
 		}
+		if poll := endpointsFilePoll(grace); poll > wait || poll > 50*time.Millisecond {
+			t.Errorf("grace %v: the endpoint file is read every %v", grace, poll)
+		}
 	}
 }
 
--- a/internal/server/filewatch.go
+++ b/internal/server/filewatch.go
@@ -11,8 +11,14 @@
 	"sandyard/proxy"
 )
 
-// endpointsFilePoll is how often the endpoint file is checked for changes: short compared with a drain grace.
-const endpointsFilePoll = 50 * time.Millisecond
+// maxEndpointsFilePoll is the longest interval between two checks of the endpoint file for changes.
+const maxEndpointsFilePoll = 50 * time.Millisecond
+
+// endpointsFilePoll returns the interval between two checks of the endpoint file: short compared with the drain grace, as that of the
+// dials of discovery.
+func endpointsFilePoll(drainGrace time.Duration) time.Duration {
+	return min(maxEndpointsFilePoll, watchBackoffLimit(drainGrace))
+}
 
 // endpointWatchFunc watches the endpoint list until its context ends.
 type endpointWatchFunc func(context.Context)
@@ -34,7 +40,7 @@
 // watchEndpointsFile reads the file after each change, until its context ends. It polls instead of using inotify: on a busy
 // machine the kernel can take many seconds to close an inotify descriptor, and the process does not end before that.
 func (s *Server) watchEndpointsFile(ctx context.Context, changes *fileChangeDetector) {
-	ticker := time.NewTicker(endpointsFilePoll)
+	ticker := time.NewTicker(endpointsFilePoll(s.cfg.Settings.DrainGrace))
 	defer ticker.Stop()
 	for {
 		select {
