Records of watches that open or fail are written once a second at most

Need: a discovery that accepts watches and closes them at once makes an instance open one each 31 to 63 ms with a grace of 250 ms, and each wrote a record when it was requested; one that writes a heartbeat first made each failure count as the first one.

Change: "watch opened" is written when discovery answers, after the message is handed over, and at most once a second; so is "watch of discovery".

Measured: go test ./internal/server passes (90 s).

--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -15,8 +15,8 @@
 // 2 s. A heartbeat is an empty line, which shows that the watch is alive.
 const watchSilenceTimeout = 3 * time.Second
 
-// watchFailureLogInterval is the minimum interval between log records of watches and dials that failed, after the first one.
-const watchFailureLogInterval = time.Second
+// watchLogInterval is the minimum interval between log records of watches that open, and of watches and dials that fail.
+const watchLogInterval = time.Second
 
 // endpointWatch watches the endpoint list at discovery. There is one watch at a time. A watch that ends is restarted from the
 // version that was received last, so that no change is missed. A watch that falls silent stays open until the connection of the next
@@ -38,11 +38,12 @@
 	firstListTimeouts firstListTimeouts // set before run
 	silenceTimeout    time.Duration     // set before run
 
-	failureLoggedAt atomic.Int64 // time.Duration: when a failure was last logged; 0: none since discovery was last heard
+	failureLoggedAt atomic.Int64 // time.Duration: when a failure was last logged
 
 	// Used by the goroutine of the watch only.
-	version   uint64                     // of the endpoint list that was last queued for the event loop
-	endpoints map[string]config.Endpoint // that list by name, without removed endpoints
+	openedLoggedAt time.Duration              // when a watch that opened was last logged
+	version        uint64                     // of the endpoint list that was last queued for the event loop
+	endpoints      map[string]config.Endpoint // that list by name, without removed endpoints
 }
 
 func newEndpointWatch(s *Server, address string, version uint64) *endpointWatch {
@@ -140,15 +141,17 @@
 	defer stop()
 	address := replacement.dialer.address
 	socket.write(fmt.Appendf(nil, "GET /v1/endpoints?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.version, address))
-	w.logOpened(address)
+	unwatchedFor := w.input.unwatchedFor(w.server.now())
+	w.input.markWatched()
+	logOpened := sync.OnceFunc(func() { w.logOpened(address, unwatchedFor) })
 	received := func() {
 		replacement.dialer.reset()
-		w.failureLoggedAt.Store(0)
+		logOpened()
 	}
 	body := newWatchBody(ctx, &w.input, socket, w.silenceTimeout, watchEvents{
 		onHeartbeat: func() { // the current version is confirmed without changes
-			received()
 			w.server.postEndpoints(w.confirmation(socket, nil))
+			received()
 		},
 		onSilence: replacement.begin,
 		onBytes:   replacement.abandon,
@@ -167,21 +170,23 @@
 	}
 }
 
-// logOpened records that a watch is open.
-func (w *endpointWatch) logOpened(address string) {
-	unwatchedFor := w.input.unwatchedFor(w.server.now())
-	w.input.markWatched()
+// logOpened logs that discovery answers a watch, once a second at most. Before the watch was opened, none was open for unwatchedFor.
+func (w *endpointWatch) logOpened(address string, unwatchedFor time.Duration) {
+	now := w.server.now()
+	if now < w.openedLoggedAt+watchLogInterval {
+		return
+	}
+	w.openedLoggedAt = now
 	w.server.log.Info("watch opened", "addr", address, "seq", w.version, "unwatched_ms", unwatchedFor.Milliseconds())
 }
 
-// logFailure logs the failure of a watch or a dial: the first one since discovery was last heard, and then one a second. While
-// discovery is down, dials fail many times a second. Any goroutine may call it.
+// logFailure logs the failure of a watch or a dial, once a second at most: while discovery is down, dials fail many times a second.
+// Any goroutine may call it.
 func (w *endpointWatch) logFailure(address string, err error) {
 	now := w.server.now()
 	last := w.failureLoggedAt.Load()
-	if last != 0 && now < time.Duration(last)+watchFailureLogInterval {
+	if now < time.Duration(last)+watchLogInterval || !w.failureLoggedAt.CompareAndSwap(last, int64(now)) {
 		return
 	}
-	w.failureLoggedAt.Store(int64(now))
 	w.server.log.Warn("watch of discovery", "addr", address, "error", err, "seq", w.readVersion.Load())
 }
