The first answer on a watch of discovery counts from before the watch was opened

Need: an instance without a watch begins a dial within a quarter of the drain grace, and sends nothing once a change lies unread for half of it. One after the other these are three quarters, and a process may be held up for 150 ms before it writes: with a grace of 250 ms an attempt could begin 340 ms after discovery came back.

Change: until a watch is answered, what is unread on it counts from the last dial that found discovery unreachable, or from the end of the watch before.

Measured: TestFirstAnswerCountsFromLastDial fails without the change (90 ms counted of 150 ms) and passes with it, as do the tests of the watch, its dials and outages in internal/server.

--- a/internal/server/discovery.go
+++ b/internal/server/discovery.go
@@ -142,10 +142,11 @@
 	address := replacement.dialer.address
 	socket.write(fmt.Appendf(nil, "GET /v1/endpoints?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.version, address))
 	unwatchedFor := w.input.unwatchedFor(w.server.now())
-	w.input.markWatched()
+	w.input.markWatched(w.server.now(), replacement.dialer.unreachableAt)
 	logOpened := sync.OnceFunc(func() { w.logOpened(address, unwatchedFor) })
 	received := func() {
 		replacement.dialer.reset()
+		w.input.markAnswered()
 		logOpened()
 	}
 	body := newWatchBody(ctx, &w.input, socket, w.silenceTimeout, watchEvents{
--- a/internal/server/endpointrecord_test.go
+++ b/internal/server/endpointrecord_test.go
@@ -100,7 +100,7 @@
 // Without it an attempt after a change that nobody could hear looks the same as one after a change that was heard and not handled.
 func TestAttemptRecordTellsWhetherWatchIsOpen(t *testing.T) {
 	rig := startDrainRig(t)
-	rig.server.discovery.input.markWatched()
+	rig.server.discovery.input.markWatched(rig.server.now(), 0)
 	rig.requireAnswer(200, rig.send(1))
 	rig.server.discovery.input.markUnwatched(rig.server.now()-time.Minute, rig.server.now())
 	rig.requireAnswer(200, rig.send(2))
--- a/internal/server/watchdial.go
+++ b/internal/server/watchdial.go
@@ -45,6 +45,8 @@
 	interval time.Duration // between the next dial and the one after it, before jitter
 	dueAt    time.Time     // when the next dial may begin
 	probedAt time.Duration // when the last dial began that reached discovery's machine, on the instance's clock
+	// unreachableAt is when the last dial before the one that succeeded began; discovery could not be reached then.
+	unreachableAt time.Duration
 }
 
 func newWatchDialer(watch *endpointWatch, address string) *watchDialer {
@@ -95,6 +97,10 @@
 func (d *watchDialer) handleResult(dials *watchDials, result watchDialResult) *socket {
 	dials.remove(result.dial)
 	if result.err == nil {
+		d.unreachableAt = result.dial.probedBefore
+		if d.probedAt != result.dial.beganAt { // a later dial has got no answer
+			d.unreachableAt = d.probedAt
+		}
 		return result.socket
 	}
 	if result.dial.cancelled {
--- a/internal/server/watchdial_test.go
+++ b/internal/server/watchdial_test.go
@@ -20,7 +20,7 @@
 	}{
 		{"no watch for a minute, and a dial now", func(now time.Duration) { input.markUnwatched(now-time.Minute, now) }, 200},
 		{"no dial for half of the grace", func(now time.Duration) { input.markUnwatched(now, now-testDrainGrace/2) }, 503},
-		{"a watch is open", func(time.Duration) { input.markWatched() }, 200},
+		{"a watch is open", func(now time.Duration) { input.markWatched(now, 0) }, 200},
 	} {
 		c.mark(rig.server.now())
 		if status := rig.status(nodeRequest(int(time.Now().UnixNano() & 0xffffffff))); status != c.status {
--- a/internal/server/watchinput.go
+++ b/internal/server/watchinput.go
@@ -31,6 +31,9 @@
 	// probedAt (time.Duration) is when the last dial began that reached discovery's machine, while no watch is open: by then
 	// discovery could not tell anything.
 	probedAt atomic.Int64
+	// unwatchedBefore (time.Duration) is for how long, before the current watch was opened, discovery may have had a change to tell;
+	// 0: the watch has been answered since.
+	unwatchedBefore atomic.Int64
 
 	// Used by the event loop only, for its checks.
 	unhandledSince    time.Duration // time since which data may be unhandled; 0: the last check found none
@@ -47,8 +50,16 @@
 	in.markBehind()
 }
 
-// markWatched records that a watch is open and its request is written.
-func (in *watchInput) markWatched() { in.unwatchedSince.Store(0) }
+// markWatched records that a watch is open and its request is written. Discovery could not be reached at unreachableAt.
+func (in *watchInput) markWatched(now, unreachableAt time.Duration) {
+	if since := time.Duration(in.unwatchedSince.Load()); since != 0 {
+		in.unwatchedBefore.Store(int64(now - max(since, unreachableAt)))
+	}
+	in.unwatchedSince.Store(0)
+}
+
+// markAnswered records that a message or a heartbeat of the current watch is queued.
+func (in *watchInput) markAnswered() { in.unwatchedBefore.Store(0) }
 
 // markUnwatched records that no watch is open now, and when the last dial began that reached discovery's machine.
 func (in *watchInput) markUnwatched(now, probedAt time.Duration) {
@@ -117,7 +128,8 @@
 
 // unhandledFor returns how long data of discovery has been waiting to be read or queued, or 0 if the last check, less than
 // checkInterval ago, found none. A result above 0 is an upper bound: it counts from the last time at which nothing was waiting,
-// since the kernel reports when the last unread bytes arrived, not the first. Only the event loop calls it.
+// since the kernel reports when the last unread bytes arrived, not the first. The first answer on a watch counts from before the watch
+// was opened, when discovery may have had it. Only the event loop calls it.
 func (in *watchInput) unhandledFor(now time.Duration) time.Duration {
 	if in.unhandledSince == 0 && now < in.checkedAt+checkInterval {
 		return 0
@@ -131,7 +143,7 @@
 		return 0
 	}
 	if in.unhandledSince == 0 {
-		in.unhandledSince = max(in.checkedAt, time.Duration(in.caughtUpAt.Load()))
+		in.unhandledSince = max(in.checkedAt, time.Duration(in.caughtUpAt.Load())) - time.Duration(in.unwatchedBefore.Load())
 	}
 	return max(1, now-in.unhandledSince)
 }
--- a/internal/server/watchinput_test.go
+++ b/internal/server/watchinput_test.go
@@ -154,3 +154,31 @@
 		t.Errorf("unhandled for %v", unhandled)
 	}
 }
+
+// TestFirstAnswerCountsFromLastDial guards against attempts at a draining backend by an instance that is late twice: its dial was due
+// some time after discovery was back, and then the answer lay unread. Each of the two times alone was within half of the grace.
+func TestFirstAnswerCountsFromLastDial(t *testing.T) {
+	const wait, unread = 60 * time.Millisecond, 90 * time.Millisecond
+	clock := time.Hour
+	input := &watchInput{}
+	input.start(func() time.Duration { return clock })
+	input.markUnwatched(clock-time.Minute, clock)
+	refusedAt := clock
+	clock += wait
+	socket, discovery := newSocketPair(t)
+	input.socket.Store(socket)
+	input.markWatched(clock, refusedAt)
+	input.markCaughtUp(clock)
+	input.unhandledFor(clock)
+	discovery.Write([]byte("notice"))
+	waitReadable(t, socket)
+	clock += unread
+	if unhandled := input.unhandledFor(clock); unhandled < wait+unread {
+		t.Errorf("unhandled for %v, want %v at least", unhandled, wait+unread)
+	}
+	input.markAnswered()
+	input.markCaughtUp(clock) // with a heartbeat behind the answer, unread
+	if unhandled := input.unhandledFor(clock); unhandled > unread {
+		t.Errorf("a heartbeat after the answer is unhandled for %v", unhandled)
+	}
+}
